--- a/src/main/java/maplerail/core/Broker.java
+++ b/src/main/java/maplerail/core/Broker.java
@@ -19,6 +19,7 @@
     private final Route route;
     private final Send send;
     private final Relay relay;
+    private final Trail trail;
     private final Consumer<String> log;
 
     /** Makes a broker round a module that has just come up with these settings. */
@@ -30,7 +31,8 @@
         this.admit = admit;
         book = new Book(engines, loop, admit, settings.rules().pinLimitMs());
         takeIn = new TakeIn(loop, book);
-        relay = new Relay(book, loop);
+        trail = new Trail(loop, log);
+        relay = new Relay(book, loop, trail);
         send = new Send(engines, loop, fleet, book, relay, settings.limits().maxAttempts());
         route = new Route(router, loop, this::perform, send::settle, log);
         send.use(route);
@@ -47,6 +49,7 @@
         if (denied != null) {
             book.answer(entry);
             book.settle(entry);
+            trail.bad(entry, "not admitted (" + denied.why() + ")");
             caller.refuse(denied.why(), denied.retryAfterMs());
             return new Closed();
         }
@@ -95,6 +98,7 @@
         Entry entry = book.find(order.id());
         if (entry == null || !book.answer(entry)) return;
         book.settle(entry);
+        trail.bad(entry, "refused");
         entry.caller.refuse(Why.OVERLOAD, order.retryAfterMs());
     }
 
@@ -102,13 +106,13 @@
         Entry entry = book.find(number);
         if (entry == null || !book.answer(entry)) return;
         book.settle(entry);
+        trail.bad(entry, why == Why.DEADLINE ? "not answered by its deadline" : "failed");
         entry.caller.fail(why);
     }
 
     /** The module gave no answer in time: nothing may be late for want of one. */
     private void overdue(Entry entry) {
         if (entry.answered || entry.winner != null) return;
-        log.accept("request " + entry.number + " was not answered by its deadline");
         fail(entry.number, Why.DEADLINE);
         leave(entry);
     }
--- a/src/main/java/maplerail/core/Entry.java
+++ b/src/main/java/maplerail/core/Entry.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import maplerail.Router;
 
 /** The book's page on one request: its attempts, its answer and what engines may hold for it. */
 final class Entry {
@@ -50,6 +51,9 @@
         double heardMs;
         boolean paused;
         boolean ended;
+        /** How and when it ended. */
+        Router.Outcome outcome;
+        double endedMs;
 
         Try(Entry entry, long engine, boolean reader, double sentMs) {
             this.entry = entry;
--- a/src/main/java/maplerail/core/Relay.java
+++ b/src/main/java/maplerail/core/Relay.java
@@ -6,10 +6,12 @@
 final class Relay {
     private final Book book;
     private final Loop loop;
+    private final Trail trail;
 
-    Relay(Book book, Loop loop) {
+    Relay(Book book, Loop loop, Trail trail) {
         this.book = book;
         this.loop = loop;
+        this.trail = trail;
     }
 
     void event(Entry.Try attempt, byte[] event) {
@@ -30,7 +32,11 @@
     void ended(Entry.Try attempt, Outcome outcome) {
         Entry entry = attempt.entry;
         if (!book.answer(entry)) return;
-        if (outcome == Outcome.SERVED) entry.caller.end();
-        else entry.caller.broken();
+        if (outcome == Outcome.SERVED) {
+            entry.caller.end();
+            return;
+        }
+        trail.bad(entry, "broken");
+        entry.caller.broken();
     }
 }
--- a/src/main/java/maplerail/core/Send.java
+++ b/src/main/java/maplerail/core/Send.java
@@ -139,6 +139,8 @@
     private void ended(Entry.Try attempt, Outcome outcome, double kept) {
         if (attempt.ended) return;
         attempt.ended = true;
+        attempt.outcome = outcome;
+        attempt.endedMs = loop.nowMs();
         touched.add(attempt.entry);
         if (attempt.timeout != null) attempt.timeout.cancel();
         Entry entry = attempt.entry;
--- /dev/null
+++ b/src/main/java/maplerail/core/Trail.java
@@ -0,0 +1,45 @@
+package maplerail.core;
+
+import java.util.function.Consumer;
+
+/**
+ * One log line for each request that ended badly: its id, its end, and each of its attempts with engine, start, length
+ * and outcome. Whoever looks into a bad day can follow one request from first to last by it. Bounded, so that a bad
+ * second does not cost the processor time that it lacks most.
+ */
+final class Trail {
+    private static final int MOST_LINES = 20; // in a window: enough to follow some, too few to cost anything
+    private static final double WINDOW_MS = 1_000;
+
+    private final Loop loop;
+    private final Consumer<String> log;
+    private double windowMs = Double.NEGATIVE_INFINITY;
+    private int lines;
+
+    Trail(Loop loop, Consumer<String> log) {
+        this.loop = loop;
+        this.log = log;
+    }
+
+    /** Tells of a request that was not served whole. */
+    void bad(Entry entry, String end) {
+        double now = loop.nowMs();
+        if (now - windowMs >= WINDOW_MS) {
+            if (lines > MOST_LINES) log.accept("requests ended badly and not told: " + (lines - MOST_LINES));
+            windowMs = now;
+            lines = 0;
+        }
+        if (++lines > MOST_LINES) return;
+        double takenMs = entry.deadlineMs - entry.ask.budgetMs();
+        StringBuilder line = new StringBuilder(160).append("request ").append(entry.ask.id()).append(" kind ")
+                .append(entry.ask.kind()).append(' ').append(end).append(" after ").append(Math.round(now - takenMs))
+                .append(" of ").append(Math.round(entry.ask.budgetMs())).append(" ms;");
+        for (Entry.Try attempt : entry.tries) {
+            line.append(attempt.reader ? " read " : " write ").append(Long.toHexString(attempt.engine)).append(" at ")
+                    .append(Math.round(attempt.sentMs - takenMs)).append(' ')
+                    .append(attempt.outcome == null ? "out" : attempt.outcome).append(" in ")
+                    .append(Math.round((attempt.ended ? attempt.endedMs : now) - attempt.sentMs)).append(';');
+        }
+        log.accept(line.toString());
+    }
+}
--- a/src/main/java/maplerail/discovery/PlatformWatch.java
+++ b/src/main/java/maplerail/discovery/PlatformWatch.java
@@ -71,7 +71,7 @@
         protected boolean whole(int status, HeaderMap headers, String text) {
             EngineList list;
             try {
-                if (status != 200) throw new ConfigException("status " + status);
+                if (status != 200) throw new ConfigException("status " + status + " index " + version + ": " + text.strip());
                 list = EngineList.read(Tree.object("list", text), names);
             } catch (ConfigException e) {
                 LOG.warn("discovery: {}", e.getMessage());
