Keep the list's version when discovery refuses a watch, and back off

From 14.5 s on its restarted nodes send every request to engines that have long gone and refuse it after six attempts:

Evidence: one node's log holds 485 refusals by discovery, one each 60 ms:

0.787 WARN PlatformWatch - discovery: status 503 index 0: 2.759 WARN PlatformWatch - discovery: status 503 index -1: 2.819 WARN PlatformWatch - discovery: status 503 index -1:

With every call logged, answers came at most each 0.15 to 0.35 s, calls failed at once or after exactly 2.0 s in the queue, and a watch once established ("index 6 -> 200 in 5003") went on undisturbed. So the overload was ours: 14 nodes, each asking 17 times a second.

Lines at fault, in PlatformWatch: on any status but 200 `version = -1`, so that a refused watch became the dearer whole list; AGAIN_MS = 50 with no backoff; GRACE_MS = 1,000, which gave a queued whole list up before the service had come to it.

Ruled out: an outage of discovery (14 whole lists were answered within 60 ms at the start, and single calls later); the engines' list itself; the pool (each refusal closes its connection, the next call gets a new one).

Refusals now keep what was told, the watch is asked for again after 0.5 s, doubled to 8 s and jittered from the node's seed; what is silent or cannot be read is asked again after 50 ms as before. A lasting trouble is logged once, and once more when it is over.

The new test fails without the change.

--- a/src/main/java/maplerail/cli/Gateway.java
+++ b/src/main/java/maplerail/cli/Gateway.java
@@ -86,7 +86,7 @@
         broker = new Broker(new Logic(settings), settings, new Admit(Budgets.open(config.wire().maxOpen()), loop), loop,
                 engines, line -> LOG.info("{}", line));
         front = new PlatformFront(broker, config.names(), lifecycle);
-        watch = new PlatformWatch(pool, loop, config.discovery(), config.names(), this::hear);
+        watch = new PlatformWatch(pool, loop, config.discovery(), config.names(), settings.seed(), this::hear);
         tools = on ? new ToolServices(toolsConfig, loop, buffers, settings.seed(), sockets * TOOLS_PERCENT / 100) : null;
         rpc = on ? new RpcFront(toolsConfig, tools.brokers(), broker, config.names(), lifecycle) : null;
         rpcListen = on ? toolsConfig.listen() : null;
--- a/src/main/java/maplerail/discovery/PlatformWatch.java
+++ b/src/main/java/maplerail/discovery/PlatformWatch.java
@@ -4,6 +4,7 @@
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Methods;
 import java.net.InetSocketAddress;
+import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import maplerail.config.ConfigException;
 import maplerail.config.EngineList;
@@ -21,8 +22,11 @@
 public final class PlatformWatch {
     private static final Logger LOG = LoggerFactory.getLogger(PlatformWatch.class);
     private static final long WAIT_MS = 5_000; // an answer that was lost is missed for no longer
-    private static final double GRACE_MS = 1_000; // past its wait, after which a call is held to be lost
-    private static final double AGAIN_MS = 50;
+    /** Past its wait, after which a call is held to be lost; a discovery that is behind answers after 2 s at the latest. */
+    private static final double GRACE_MS = 2_500;
+    private static final double AGAIN_MS = 50; // before a call that follows one of which nothing useful came
+    private static final double REFUSED_MS = 500; // before one that follows a refusal; each refusal doubles it
+    private static final double MOST_REFUSED_MS = 8_000; // dozens of nodes then ask a few times a second in all
     private static final double DOUBT_MS = 2_000; // after a move, in which a list older than ours is not believed
 
     private final Pool pool;
@@ -30,16 +34,21 @@
     private InetSocketAddress at;
     private final Names names;
     private final Consumer<EngineList> news;
+    private final SplittableRandom random;
+    private double refusedMs = REFUSED_MS;
+    private String trouble = "";
     private long version = -1;
     private long newest = -1; // of what was told at any address
     private double doubtUntilMs = Double.NEGATIVE_INFINITY;
 
-    /** Makes a watch that tells each piece of news. */
-    public PlatformWatch(Pool pool, XnioLoop loop, InetSocketAddress at, Names names, Consumer<EngineList> news) {
+    /** Makes a watch that tells each piece of news; its waits are drawn from the seed, so that nodes differ. */
+    public PlatformWatch(Pool pool, XnioLoop loop, InetSocketAddress at, Names names, long seed,
+            Consumer<EngineList> news) {
         this.pool = pool;
         this.loop = loop;
         this.at = at;
         this.names = names;
+        this.random = new SplittableRandom(seed);
         this.news = news;
     }
 
@@ -54,12 +63,20 @@
         if (to.equals(at)) return;
         at = to;
         version = -1;
+        refusedMs = REFUSED_MS;
         doubtUntilMs = loop.nowMs() + DOUBT_MS;
         ask();
     }
 
+    /** A trouble that lasts is told once, not with each call. */
+    private void tell(String now) {
+        if (!now.equals(trouble)) LOG.warn("discovery: {}", now.isEmpty() ? "answers again" : now);
+        trouble = now;
+    }
+
     private final class Asked extends TextReply {
         private final InetSocketAddress asked = at;
+        private boolean refused;
 
         void start(ClientRequest request) {
             Call call = pool.start(at, request, new byte[0], this);
@@ -69,21 +86,29 @@
 
         @Override
         protected boolean whole(int status, HeaderMap headers, String text) {
+            // A call that was turned away takes back nothing that was told: what we have heard so far stays true, and
+            // whole lists asked for in its place by every node would keep an overloaded discovery overloaded.
+            refused = status == 429 || status == 503;
+            if (status != 200) {
+                tell("status " + status + " " + text.strip());
+                return false;
+            }
             EngineList list;
             try {
-                if (status != 200) throw new ConfigException("status " + status + " index " + version + ": " + text.strip());
                 list = EngineList.read(Tree.object("list", text), names);
             } catch (ConfigException e) {
-                LOG.warn("discovery: {}", e.getMessage());
+                tell(e.getMessage());
                 if (asked.equals(at)) version = -1;
                 return false;
             }
+            tell("");
             // Guards against a new agent that has yet to hear of what ours had told: engines that drain would be
             // listed as ready once more.
             boolean older = list.version() < newest && loop.nowMs() < doubtUntilMs;
             if (asked.equals(at)) {
                 if (older) return false;
                 version = list.version();
+                refusedMs = REFUSED_MS;
                 ask();
             }
             if (older) return true;
@@ -95,7 +120,9 @@
         @Override
         protected void none() {
             if (!asked.equals(at)) return; // the other address has its own call out
-            loop.at(loop.nowMs() + AGAIN_MS, () -> {
+            double afterMs = refused ? refusedMs * random.nextDouble(0.5, 1) : AGAIN_MS;
+            if (refused) refusedMs = Math.min(MOST_REFUSED_MS, 2 * refusedMs);
+            loop.at(loop.nowMs() + afterMs, () -> {
                 if (asked.equals(at)) ask();
             });
         }
--- a/src/test/java/maplerail/discovery/PlatformWatchTest.java
+++ b/src/test/java/maplerail/discovery/PlatformWatchTest.java
@@ -4,7 +4,9 @@
 import static maplerail.support.World.request;
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 import maplerail.config.NodeConfig;
 import maplerail.support.StandIn;
@@ -12,6 +14,26 @@
 import org.junit.jupiter.api.Test;
 
 class PlatformWatchTest {
+    /** Whole lists in place of a watch that was turned away, and calls without a pause, keep discovery overloaded. */
+    @Test
+    void aWatchThatIsTurnedAwayGoesOnFromWhatWasToldAndBacksOff() throws Exception {
+        List<Long> atNanos = new CopyOnWriteArrayList<>();
+        try (StandIn reader = World.reader(); StandIn writer = World.writer();
+                StandIn agent = new StandIn(x -> {
+                    atNanos.add(System.nanoTime());
+                    if (atNanos.size() > 1) x.reply(503, "overloaded");
+                    else x.reply(200, "{\"seq\":7,\"whole\":true,\"hosts\":[]}");
+                });
+                World world = new World().engine("r", "prefill", reader).engine("w", "decode", writer)
+                        .discoveredBy(agent)) {
+            world.start();
+            await("asked again and again", () -> atNanos.size() >= 4);
+            assertThat(agent.seen.subList(1, 4)).allMatch(seen -> seen.startsWith("GET /api/targets?index=7&"));
+            // Two waits of at least half of 500 and 1,000 ms.
+            assertThat(atNanos.get(3) - atNanos.get(1)).isGreaterThan(740_000_000L);
+        }
+    }
+
     /** A new agent that has yet to hear the news would list an engine that drains as ready once more. */
     @Test
     void aListOlderThanOursIsNotBelievedAfterAMove() throws Exception {
