Fail a booking at once when its attempt may have run, and let its state go

Lines at fault: Logic.onFailure counted a request as spent after an attempt that may have run only if that attempt was a read at a mixed engine. A writer's failure went on to write(), where repeatAllowed lets no engine through, and so to wait(): the client waited and the reader's memory stayed taken for the 500 ms of the rule, for nothing.

The new test fails without the change.

--- a/src/main/java/maplerail/Logic.java
+++ b/src/main/java/maplerail/Logic.java
@@ -813,8 +813,8 @@
         if (request.phase == Phase.STREAMING || request.out > 0) return;
         if (outcome == Outcome.STATE_GONE) request.holder = null;
         boolean spent = request.attempts.size() >= settings.limits().maxAttempts();
-        // What a mixed engine may have done can be neither repeated nor taken elsewhere: no use in waiting.
-        spent |= attempt.read && request.mayHaveRun != null && request.kind.repeat() == Repeat.UNSAFE;
+        // What may have been done can be neither repeated nor taken elsewhere: no use in holding its state.
+        spent |= request.mayHaveRun != null && request.kind.repeat() == Repeat.UNSAFE;
         if (spent || lastMoment(request) <= now) giveUp(request);
         else if (request.holder != null) write(request, attempt.engine);
         else read(request, attempt.engine);
--- a/src/test/java/maplerail/LogicTest.java
+++ b/src/test/java/maplerail/LogicTest.java
@@ -315,6 +315,19 @@
     }
 
     /** Found on rough-1 and big-2: a second read of a repair order went out while the first had not ended. */
+    /** Nothing may follow an attempt that may have run: its client must not wait for the pin rule's limit to hear so. */
+    @Test
+    void anUnsafeRequestThatAWriterFailedIsAnsweredAtOnceAndItsStateReleased() {
+        Node node = new Node();
+        node.repeat = Repeat.UNSAFE;
+        node.start(reader(1), writer(11), writer(12));
+        node.arrive(1);
+        node.end(1, 0, Outcome.READ);
+        List<Router.Action> answer = node.end(1, 1, Outcome.ERROR);
+        assertTrue(answer.contains(new Fail(1)));
+        assertTrue(answer.contains(new Release(1)));
+    }
+
     @Test
     void anUnsafeReadIsNeverCopiedWhileItIsOut() {
         Node node = new Node();
