Let a cold engine's share grow with its age instead of staying at its start's

The old ones drown while 14 new ones answer within 70 ms and get 1 to 1.5 requests a second each from all gateways together. It ends when they turn 14 s old: then they get 10 to 14 in 2 s. Readers show the same.

Ruled out: lost connections and the pool (no connect failures, all waits are for first tokens); health (2 ejections in the node followed); capacity (half of the engines idle).

The new test fails without the change.

--- a/src/main/java/maplerail/Logic.java
+++ b/src/main/java/maplerail/Logic.java
@@ -738,12 +738,22 @@
     private boolean coldRoom(Engine engine) {
         if (!cold(engine)) return true;
         double perMs = Math.max(1.0 / (1000 * settings.routers()), usual(engine).warmRate)
-                * settings.rules().startCapacity() * COLD_LOAD;
+                * presentCapacity(engine) * COLD_LOAD;
         engine.coldBucket = Math.min(1, engine.coldBucket + (now - engine.coldAt) * perMs);
         engine.coldAt = now;
         return engine.coldBucket >= 1;
     }
 
+    /**
+     * The share of its capacity that a cold engine has by its age, as the rules state start and end and no course:
+     * evenly. Held at the start's share for all the time, newcomers idle while those that they relieve drown.
+     */
+    private double presentCapacity(Engine engine) {
+        double age = Math.max(0, now - engine.member.startedMs()) / settings.rules().warmAfterMs();
+        double start = settings.rules().startCapacity();
+        return start + (1 - start) * Math.min(1, age);
+    }
+
     private void count(Engine engine, double sends) {
         engine.sendRate = Math.max(0, rateOf(engine) + sends / RATE_MS);
         engine.rateAt = now;
--- a/src/test/java/maplerail/LogicTest.java
+++ b/src/test/java/maplerail/LogicTest.java
@@ -451,6 +451,23 @@
         assertTrue(cold >= 2 && cold <= 0.45 * warm + 1, cold + " cold against " + warm);
     }
 
+    /** Newcomers that got their first moment's share until they were warm idled while warm engines drowned. */
+    @Test
+    void aColdEngineGetsMoreAsItWarms() {
+        Node node = new Node();
+        node.now = 100_000;
+        node.start(reader(1), writer(11), new Member(12, State.READY, 100_000, 0, 0, 1, 1));
+        long early = 0;
+        for (int id = 1; id <= 180; id++) {
+            node.now += 50;
+            node.arrive(id);
+            node.serve(id);
+            if (id == 60) early = node.sends().stream().filter(s -> s.engine() == 12).count();
+        }
+        long all = node.sends().stream().filter(s -> s.engine() == 12).count();
+        assertTrue(all - early > 7 * early, early + " in the first 3 s, " + all + " in 9 s of the 10 s that it warms");
+    }
+
     @Test
     void manyNodesTogetherDoNotPushANewcomerOver() {
         int atOnce = 0;
