Wait for a booking at a writer instead of calling off what nothing may follow

400 ms is OVERDUE_SHARE of the aim: the module calls the attempt off, and as it may have run nothing may be sent after it. The cancel cannot save the request, it only loses an answer that was 100 to 500 ms away.

Lines at fault: Logic.overdue spared unsafe work only where a mixed engine read it (`attempt.read &&`). Now an unsafe attempt that may have run is waited for until its deadline, wherever it is; silence as long as an aim still counts against the engine, and costs no retry token.

Ruled out: hung writers (the same ones answered others all the time); the network (no connect failures at these writers).

Both new tests fail without the change.

--- a/src/main/java/maplerail/Logic.java
+++ b/src/main/java/maplerail/Logic.java
@@ -784,27 +784,32 @@
                 || request.attempts.size() >= settings.limits().maxAttempts() - 1) {
             return;
         }
+        boolean silent = attempt.engine.heardMs < attempt.sentMs;
+        // A full writer's queue is quiet too: only silence as long as an aim counts against the engine.
+        boolean mute = silent && now - attempt.engine.heardMs > request.kind.aimMs();
+        boolean unsafe = request.kind.repeat() == Repeat.UNSAFE;
+        // What may have begun to answer and can't be repeated is waited for: called off, its answer is lost for sure.
+        if (unsafe && attempt == request.mayHaveRun) {
+            if (mute) bad(attempt.engine, attempt);
+            else setTimer(request.asked.id(), number, Alarm.OVERDUE, now + patience(attempt));
+            return;
+        }
         // Retries are rationed against storms, but an answer that is lost comes from no lack of capacity.
         boolean lost = attempt.overtaken();
         if (retryTokens < 1 && !lost) {
             setTimer(request.asked.id(), number, Alarm.OVERDUE, now + patience(attempt));
             return;
         }
-        boolean unsafe = request.kind.repeat() == Repeat.UNSAFE;
-        // A mixed engine that reads may have begun to answer: calling it off could only lose the answer.
-        if (unsafe && attempt.read && attempt == request.mayHaveRun) return;
         // Where the whole role is behind, a copy only adds to it.
         double behind = pooled(attempt.read ? reads : firstTokens);
         if (!lost && unmet(attempt.engine) && behind > BEHIND * request.kind.aimMs()) return;
-        boolean silent = attempt.engine.heardMs < attempt.sentMs;
         if (!silent && !lost && !attempt.excused && relativePace(attempt.engine) < OUTLIER) {
             // Others were answered: a queue, or an answer that was lost. The second time it counts as lost.
             attempt.excused = true;
             setTimer(request.asked.id(), number, Alarm.OVERDUE, 2 * now - attempt.sentMs);
             return;
         }
-        // A full writer's queue is quiet too: only silence as long as an aim counts against the engine.
-        if (silent && now - attempt.engine.heardMs > request.kind.aimMs()) bad(attempt.engine, attempt);
+        if (mute) bad(attempt.engine, attempt);
         retryTokens = Math.max(0, retryTokens - 1);
         // Guards against a second send of unsafe work while the first is out, a read's included: call it off.
         if (attempt.read && settings.limits().secondCopies() && !unsafe) read(request, attempt.engine);
--- a/src/test/java/maplerail/LogicTest.java
+++ b/src/test/java/maplerail/LogicTest.java
@@ -328,6 +328,44 @@
         assertTrue(answer.contains(new Release(1)));
     }
 
+    /** A booking in a writer's queue is late at the worst; called off it is lost, as nothing may follow it. */
+    @Test
+    void anUnsafeRequestThatWaitsAtAWriterIsNotCalledOffBeforeItsDeadline() {
+        Node node = new Node();
+        node.repeat = Repeat.UNSAFE;
+        node.start(reader(1), writer(11), writer(12));
+        for (int id = 1; id <= 5; id++) {
+            node.arrive(id);
+            node.serve(id);
+        }
+        node.arrive(6);
+        node.end(6, 0, Outcome.READ);
+        node.until(node.now + 4_900);
+        assertTrue(node.of(Cancel.class).isEmpty());
+        node.first(6, 1);
+        node.end(6, 1, Outcome.SERVED);
+        assertEquals(0, node.answers(6));
+    }
+
+    /** An engine that says nothing for as long as an aim is left alone though its work is waited for. */
+    @Test
+    void aWriterThatIsSilentOverUnsafeWorkGetsNoMoreOfIt() {
+        Node node = new Node();
+        node.repeat = Repeat.UNSAFE;
+        node.start(reader(1), writer(11), writer(12));
+        node.arrive(1);
+        node.end(1, 0, Outcome.READ);
+        long mute = node.sent().engine();
+        for (int id = 2; id <= 4; id++) {
+            node.arrive(id);
+            node.end(id, 0, Outcome.READ);
+            if (node.sent().engine() != mute) node.first(id, 1);
+        }
+        assertTrue(node.sends().stream().filter(s -> s.engine() == mute).count() > 1);
+        node.until(node.now + 2_000);
+        assertTrue(node.of(Router.Log.class).stream().anyMatch(l -> l.text().contains(Long.toHexString(mute))));
+    }
+
     @Test
     void anUnsafeReadIsNeverCopiedWhileItIsOut() {
         Node node = new Node();
