--- a/src/main/java/maplerail/Logic.java
+++ b/src/main/java/maplerail/Logic.java
@@ -745,8 +745,8 @@
     }
 
     /**
-     * The share of its capacity that a cold engine has by its age, as the rules state start and end and no course:
-     * evenly. Held at the start's share for all the time, newcomers idle while those that they relieve drown.
+     * The share of its capacity that a cold engine has by its age: the rules state the start and the end, and
+     * it is taken to grow evenly. Held at the start's share, newcomers idle while those they relieve drown.
      */
     private double presentCapacity(Engine engine) {
         double age = Math.max(0, now - engine.member.startedMs()) / settings.rules().warmAfterMs();
@@ -788,7 +788,7 @@
         // A full writer's queue is quiet too: only silence as long as an aim counts against the engine.
         boolean mute = silent && now - attempt.engine.heardMs > request.kind.aimMs();
         boolean unsafe = request.kind.repeat() == Repeat.UNSAFE;
-        // What may have begun to answer and can't be repeated is waited for: called off, its answer is lost for sure.
+        // What may have begun to answer and can't be repeated is waited for: called off, it is lost for sure.
         if (unsafe && attempt == request.mayHaveRun) {
             if (mute) bad(attempt.engine, attempt);
             else setTimer(request.asked.id(), number, Alarm.OVERDUE, now + patience(attempt));
