Go on from the list in the configuration instead of asking for all of it

Evidence: with every call to discovery logged, each restarted node asked for the whole list (index -1), all within 0.1 s; a whole list took the service 0.35 s, ten of them 3.5 s, and it gives up calls after 2 s:

17.589 .. 17.636 five times: discovery: status 503 17.890, 18.305, 18.674, 19.067, 19.445 discovery: status 503 29.081 discovery: answers again (the last of the ten at 32.225)

Lines at fault: PlatformWatch started with version -1 although the configuration's `known` says which list the node has. It now goes on from there, so that a restart costs discovery the changes only; what is older than that list is not believed after a move, as before.

Ruled out: an outage (the four nodes that had not restarted went on hearing changes all the time).

A drain now says in the log that it began, with how many requests, and that it ended.

--- a/src/main/java/maplerail/cli/Gateway.java
+++ b/src/main/java/maplerail/cli/Gateway.java
@@ -86,7 +86,8 @@
         broker = new Broker(new Logic(settings), settings, new Admit(Budgets.open(config.wire().maxOpen()), loop), loop,
                 engines, line -> LOG.info("{}", line));
         front = new PlatformFront(broker, config.names(), lifecycle);
-        watch = new PlatformWatch(pool, loop, config.discovery(), config.names(), settings.seed(), this::hear);
+        watch = new PlatformWatch(pool, loop, config.discovery(), config.names(), settings.routers(),
+                settings.seed(), this::hear);
         tools = on ? new ToolServices(toolsConfig, loop, buffers, settings.seed(), sockets * TOOLS_PERCENT / 100) : null;
         rpc = on ? new RpcFront(toolsConfig, tools.brokers(), broker, config.names(), lifecycle) : null;
         rpcListen = on ? toolsConfig.listen() : null;
@@ -119,6 +120,7 @@
             if (known != null) {
                 engines.addresses(known.addresses());
                 broker.members(new Router.Members(Router.ListKind.REMEMBERED, known.version(), known.members()));
+                if (!known.members().isEmpty()) watch.from(known.version());
             }
             watch.ask();
             if (tools != null) tools.start();
@@ -177,6 +179,7 @@
             Phase phase = lifecycle.phase();
             if (phase != Phase.STARTING && phase != Phase.READY) return;
             lifecycle.move(Phase.DRAINING);
+            LOG.info("draining: {} requests open", remembered());
             loop.at(loop.nowMs() + ARRIVING_MS, this::finish);
         });
     }
@@ -190,6 +193,7 @@
         }
         if (rpc != null) rpc.close();
         lifecycle.move(Phase.STOPPED);
+        LOG.info("drained");
         stopped.countDown();
     }
 
--- a/src/main/java/maplerail/discovery/PlatformWatch.java
+++ b/src/main/java/maplerail/discovery/PlatformWatch.java
@@ -25,8 +25,9 @@
     /** Past its wait, after which a call is held to be lost; a discovery that is behind answers after 2 s at the latest. */
     private static final double GRACE_MS = 2_500;
     private static final double AGAIN_MS = 50; // before a call that follows one of which nothing useful came
-    private static final double REFUSED_MS = 500; // before one that follows a refusal; each refusal doubles it
-    private static final double MOST_REFUSED_MS = 8_000; // dozens of nodes then ask a few times a second in all
+    /** What a busy discovery takes for a call, as seen in service: the nodes that it refused share out its time. */
+    private static final double TURN_MS = 400;
+    private static final double MOST_REFUSED_MS = 8_000; // between two calls of a node, however many nodes there are
     private static final double DOUBT_MS = 2_000; // after a move, in which a list older than ours is not believed
 
     private final Pool pool;
@@ -35,24 +36,36 @@
     private final Names names;
     private final Consumer<EngineList> news;
     private final SplittableRandom random;
-    private double refusedMs = REFUSED_MS;
+    private final double roundMs;
+    private double refusedMs;
     private String trouble = "";
     private long version = -1;
     private long newest = -1; // of what was told at any address
     private double doubtUntilMs = Double.NEGATIVE_INFINITY;
 
-    /** Makes a watch that tells each piece of news; its waits are drawn from the seed, so that nodes differ. */
-    public PlatformWatch(Pool pool, XnioLoop loop, InetSocketAddress at, Names names, long seed,
+    /**
+     * Makes a watch that tells each piece of news. After a refusal it waits for a time within a round of all nodes,
+     * drawn from the seed, so that nodes differ.
+     */
+    public PlatformWatch(Pool pool, XnioLoop loop, InetSocketAddress at, Names names, int nodes, long seed,
             Consumer<EngineList> news) {
         this.pool = pool;
         this.loop = loop;
         this.at = at;
         this.names = names;
+        this.roundMs = Math.min(MOST_REFUSED_MS, nodes * TURN_MS);
+        this.refusedMs = roundMs;
         this.random = new SplittableRandom(seed);
         this.news = news;
     }
 
-    /** Asks for the whole list, then for changes, for good. */
+    /** Goes on from a list that is known, so that discovery need not send it again; called before the first call. */
+    public void from(long known) {
+        version = known;
+        newest = known;
+    }
+
+    /** Asks for the whole list, unless one is known, then for changes, for good. */
     public void ask() {
         String target = "/api/targets" + (version < 0 ? "" : "?index=" + version + "&wait=" + WAIT_MS);
         new Asked().start(Requests.to(at, Methods.GET, target));
@@ -63,7 +76,7 @@
         if (to.equals(at)) return;
         at = to;
         version = -1;
-        refusedMs = REFUSED_MS;
+        refusedMs = roundMs;
         doubtUntilMs = loop.nowMs() + DOUBT_MS;
         ask();
     }
@@ -108,7 +121,7 @@
             if (asked.equals(at)) {
                 if (older) return false;
                 version = list.version();
-                refusedMs = REFUSED_MS;
+                refusedMs = roundMs;
                 ask();
             }
             if (older) return true;
@@ -120,7 +133,7 @@
         @Override
         protected void none() {
             if (!asked.equals(at)) return; // the other address has its own call out
-            double afterMs = refused ? refusedMs * random.nextDouble(0.5, 1) : AGAIN_MS;
+            double afterMs = refused ? Math.max(AGAIN_MS, refusedMs * random.nextDouble()) : AGAIN_MS;
             if (refused) refusedMs = Math.min(MOST_REFUSED_MS, 2 * refusedMs);
             loop.at(loop.nowMs() + afterMs, () -> {
                 if (asked.equals(at)) ask();
