Let a matched reader whose oldest read waits long give way to another

A new line on why admission shuts names the cause each time:

Lines at fault: Logic.expectedMs, by which spill leaves a matched reader, counted our own queued tokens only, at the pace of answers that came. Reads of other nodes and silence show in the age of the oldest read, which overloaded() counts and the reader's choice did not see. Both now see it: the request goes to the reader expected soonest, and is refused only if that one's wait is too long as well.

Ruled out: the descriptors (491 of 768), the loop (two lines in all of admission by the loop's delay), writers and a general jam (the figures above).

--- a/src/main/java/maplerail/Logic.java
+++ b/src/main/java/maplerail/Logic.java
@@ -6,6 +6,7 @@
 import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Objects;
 import java.util.SplittableRandom;
@@ -59,6 +60,7 @@
     private static final double LOOK_MS = 25; // between two looks for an engine for a request that has none
     private static final double MARGIN_TICKS = 3, MARGIN_MS = 4; // that a timer is set before its limit
     private static final double COLD_LOAD = 1.2, RATE_MS = 10_000; // of its present capacity; mean of sends
+    private static final double SHUT_LOG_MS = 500; // between two lines on why admission is shut
     private static final double ASK_AGAIN_MS = 1_000; // between two attempts at a subscription to the list
 
     // ---- State ----
@@ -199,6 +201,7 @@
     private double retryTokens = RETRY_BURST;
     private final Map<Integer, double[]> shares = new TreeMap<>();
     private boolean askPending;
+    private double shutToldMs = Double.NEGATIVE_INFINITY;
     private double now;
     private List<Action> actions = new ArrayList<>();
 
@@ -397,8 +400,9 @@
         return expectedMs(request, other) < (slow ? here : here / 2) ? other : chosen;
     }
 
+    /** By own reads, or by what the oldest of them has waited: it shows all nodes' queue, and silence. */
     private double expectedMs(Request request, Engine reader) {
-        return readMs(reader, reader.queued + needed(request, reader));
+        return Math.max(readMs(reader, reader.queued + needed(request, reader)), oldestMs(reader));
     }
 
     /** What a request has to have read at a reader, with the fixed cost of a read. */
@@ -883,11 +887,18 @@
         double limit = Math.min(request.aimMs, lastMoment(request)) - now;
         // A long prompt takes its time without a queue: what it needs itself is no overload.
         double whole = queue + (calmPace < SANE ? calmPace * needed(request, reader) : 0);
-        if (queue > QUEUED * limit && whole > ADMIT * limit) return true;
+        boolean shut = queue > QUEUED * limit && whole > ADMIT * limit;
         for (RequestClass other : settings.classes()) {
             if (other.worth() > request.worth) limit = Math.min(limit, other.aimMs());
         }
-        return queue > ADMIT * limit;
+        shut |= queue > ADMIT * limit;
+        if (shut && now - shutToldMs >= SHUT_LOG_MS) {
+            shutToldMs = now;
+            actions.add(new Log(String.format(Locale.ROOT, "admission shut: reader %x %.0f ms (oldest %.0f), "
+                    + "all readers %.0f, writers' median %.0f, first tokens %.0f, of %.0f", reader.id, own,
+                    oldestMs(reader), all, median, pooled(firstTokens), limit)));
+        }
+        return shut;
     }
 
     /** An engine that we meet so seldom that its own waits say little: then those of its role stand in. */
