Refuse what arrives 0.6 s after SIGTERM, when only what was taken is finished

A connection on which a stream still ran when SIGTERM came stays open until that stream ends, with no "Connection: close" in its head, and the next request on it was taken as any other, though the program may be killed before its deadline.

At fault: PlatformFront.take, which asked nothing of the phase, and Gateway.finish, which only closes connections that are idle at its looks, 20 ms apart.

The phase FINISHING follows DRAINING after the time for arrivals: what arrives then is answered 503 with "Connection: close" and never sent on. The JSON-RPC front's own flag for the same moment goes.

DrainTest.whatArrivesAfterTheTimeToArriveIsRefusedAndNotSentOn fails without it.

--- a/src/main/java/maplerail/cli/Gateway.java
+++ b/src/main/java/maplerail/cli/Gateway.java
@@ -185,8 +185,8 @@
     }
 
     private void finish() {
+        if (lifecycle.phase() == Phase.DRAINING) lifecycle.move(Phase.FINISHING);
         doors.get(0).closeIdle();
-        if (rpc != null) rpc.stopTaking();
         if (doors.get(0).busy() > 0 || remembered() > 0 || rpc != null && rpc.openRequests() > 0) {
             loop.at(loop.nowMs() + LOOK_MS, this::finish);
             return;
--- a/src/main/java/maplerail/core/Lifecycle.java
+++ b/src/main/java/maplerail/core/Lifecycle.java
@@ -8,13 +8,21 @@
 
 /** The program's phases, from start to exit. Only legal moves are made; listeners hear each one. */
 public final class Lifecycle {
-    /** Where the program is. */
-    public enum Phase { STARTING, READY, DRAINING, STOPPED }
+    /** Where the program is. In FINISHING it only ends what it took before. */
+    public enum Phase {
+        STARTING, READY, DRAINING, FINISHING, STOPPED;
+
+        /** True while a request that arrives is still served. */
+        public boolean takes() {
+            return compareTo(FINISHING) < 0;
+        }
+    }
 
     private static final Map<Phase, Set<Phase>> LEGAL = Map.of(
             Phase.STARTING, Set.of(Phase.READY, Phase.DRAINING, Phase.STOPPED),
             Phase.READY, Set.of(Phase.DRAINING),
-            Phase.DRAINING, Set.of(Phase.STOPPED),
+            Phase.DRAINING, Set.of(Phase.FINISHING, Phase.STOPPED),
+            Phase.FINISHING, Set.of(Phase.STOPPED),
             Phase.STOPPED, Set.of());
 
     private final List<Consumer<Phase>> listeners = new ArrayList<>();
--- a/src/main/java/maplerail/front/jsonrpc/RpcFront.java
+++ b/src/main/java/maplerail/front/jsonrpc/RpcFront.java
@@ -32,7 +32,6 @@
     private final Lifecycle lifecycle;
     private final Set<Session> sessions = new HashSet<>();
     private final Set<WebSocketChannel> channels = new HashSet<>();
-    private boolean taking = true;
     private Door door;
 
     /** Makes a front before the platform's broker and one broker for each service of tools. */
@@ -122,12 +121,7 @@
 
     @Override
     public boolean open() {
-        return taking && lifecycle.phase() != Phase.STARTING;
-    }
-
-    /** Refuses what is new from now on; what was taken is finished. */
-    public void stopTaking() {
-        taking = false;
+        return lifecycle.phase().takes() && lifecycle.phase() != Phase.STARTING;
     }
 
     /** Requests that wait for their final answer. */
--- a/src/main/java/maplerail/front/platform/PlatformFront.java
+++ b/src/main/java/maplerail/front/platform/PlatformFront.java
@@ -10,6 +10,7 @@
 import maplerail.config.Names;
 import maplerail.core.Ask;
 import maplerail.core.Broker;
+import maplerail.core.Caller;
 import maplerail.core.Lifecycle;
 import maplerail.core.Lifecycle.Phase;
 import maplerail.front.Door;
@@ -77,6 +78,12 @@
             answer.say(400, e.getMessage());
             return;
         }
+        // Guards against clients that go on using a connection which a long stream kept open: what is taken now may
+        // outlast the time that is left to end it, and a repeat is served by another gateway.
+        if (!lifecycle.phase().takes()) {
+            answer.refuse(Caller.Why.OVERLOAD, 0);
+            return;
+        }
         answer.hold(broker.take(ask, answer));
     }
 }
--- a/src/test/java/maplerail/cli/DrainTest.java
+++ b/src/test/java/maplerail/cli/DrainTest.java
@@ -43,6 +43,29 @@
         }
     }
 
+    /** A connection that a long stream keeps open brings requests for as long as it is there. */
+    @Test
+    void whatArrivesAfterTheTimeToArriveIsRefusedAndNotSentOn() throws Exception {
+        BlockingQueue<StandIn.Exchange> streams = World.queue();
+        try (StandIn reader = World.reader(); StandIn writer = new StandIn(x -> {
+            x.stream();
+            x.chunk("data: 1\n\n");
+            streams.add(x);
+        }); World world = new World().engine("r", "prefill", reader).engine("w", "decode", writer).start();
+                Socket client = world.connect()) {
+            send(client, request("a1", "lookup", "5.0"));
+            StandIn.Exchange first = take(streams);
+            world.gateway.drain();
+            await("nothing more is taken", () -> !world.gateway.phase().takes());
+            send(client, request("a2", "lookup", "5.0"));
+            first.chunk("data: [DONE]\n\n");
+            first.last();
+            assertThat(World.readAll(client.getInputStream())).contains("[DONE]", "\r\n0\r\n\r\nHTTP/1.1 503");
+            world.gateway.join();
+            assertThat(reader.count("POST")).isEqualTo(1);
+        }
+    }
+
     @Test
     void connectionsThatEndedInMidRequestDoNotHoldUpTheExit() throws Exception {
         BlockingQueue<StandIn.Exchange> streams = World.queue();
