Let a state go that writers out of reach kept waiting, and read it anew

The connections to silent writers never came up, so to the reader nobody took its state, but Logic.onEnded began the 500 ms anew with each attempt that ended.

Ruled out: the releases themselves (the state was let go 1.4 s after the arrival, in one call, when the request was given up) and cut reads (none in these requests). At fault: Logic.onEnded (heldMs) and Logic.onFailure, which went on to a further writer.

An attempt that never reached its engine no longer starts the time anew. When it is up the state is released and the prompt read again, which costs little where its tokens are kept, rather than the request given up: writers in reach may be left.

LogicTest fails without it.

--- a/src/main/java/maplerail/Logic.java
+++ b/src/main/java/maplerail/Logic.java
@@ -309,7 +309,9 @@
         Request request = attempt.request;
         attempt.ended = true;
         request.out--;
-        request.heldMs = now;
+        // What never reached its engine took nothing: the time of what is held runs on.
+        boolean never = ended.outcome() == Outcome.UNREACHABLE || ended.outcome() == Outcome.NOT_SENT;
+        if (!never) request.heldMs = now;
         request.held |= ended.outcome() == Outcome.READ;
         account(attempt, ended);
         judge(attempt, ended);
@@ -843,14 +845,23 @@
         // What may have been done can be neither repeated nor taken elsewhere: no use in holding its state.
         spent |= request.mayHaveRun != null && request.kind.repeat() == Repeat.UNSAFE;
         if (spent || lastMoment(request) <= now) giveUp(request);
-        else if (request.holder != null) write(request, attempt.engine);
-        else read(request, attempt.engine);
+        else if (request.holder == null) read(request, attempt.engine);
+        else if (outcome != Outcome.UNREACHABLE || now < pinnedMs(request)) write(request, attempt.engine);
+        else readAnew(request);
+    }
+
+    /** Writers out of reach used up the state's time: let it go; its reader keeps the prompt's tokens. */
+    private void readAnew(Request request) {
+        actions.add(new Release(request.asked.id()));
+        request.held = false;
+        request.holder = null;
+        read(request, null);
     }
 
     /** No engine can be sent to now: look again soon, within what the pin rule allows. */
     private void wait(Request request) {
-        double pin = request.heldMs + settings.rules().pinLimitMs() - margin();
-        if (request.held) setTimer(request.asked.id(), request.attempts.size(), Alarm.PINNED, pin);
+        int attempts = request.attempts.size();
+        if (request.held) setTimer(request.asked.id(), attempts, Alarm.PINNED, pinnedMs(request));
         setTimer(request.asked.id(), 0, Alarm.LOOK, now + LOOK_MS);
     }
 
@@ -863,10 +874,12 @@
 
     /** The state has waited as long as the rule allows: let it go and end the request. */
     private void pinned(Request request) {
-        if (request.held && request.out == 0 && request.phase != Phase.DONE
-                && now >= request.heldMs + settings.rules().pinLimitMs() - margin()) {
-            giveUp(request);
-        }
+        boolean held = request.held && request.out == 0 && request.phase != Phase.DONE;
+        if (held && now >= pinnedMs(request)) giveUp(request);
+    }
+
+    private double pinnedMs(Request request) {
+        return request.heldMs + settings.rules().pinLimitMs() - margin();
     }
 
     private double margin() {
--- a/src/test/java/maplerail/LogicTest.java
+++ b/src/test/java/maplerail/LogicTest.java
@@ -779,6 +779,26 @@
         assertTrue(node.sends().size() <= before + 1, "no copies while all are behind");
     }
 
+    /** To the reader an attempt that never came is none: its state waits on from the end of the read. */
+    @Test
+    void aStateThatNoWriterInReachTakesIsLetGoInTimeAndReadAnew() {
+        Node node = new Node();
+        node.copies = false;
+        node.start(reader(1), reader(2), writer(11), writer(12), writer(13), writer(14));
+        node.arrive(1, 7, 0, 1_000, 5_000);
+        long reader = node.sent().engine();
+        node.end(1, 0, Outcome.READ);
+        double held = node.now;
+        for (int attempt = 1; node.of(Release.class).isEmpty(); attempt++) {
+            assertTrue(node.sent().engine() > 10, "a writer is tried");
+            node.until(node.now + 250);
+            node.end(1, attempt, Outcome.UNREACHABLE);
+            assertTrue(node.now <= held + 300 + 250, "the limit, and the attempt that was on its way by then");
+        }
+        assertEquals(reader, node.sent().engine(), "read where the prompt's tokens are kept");
+        assertEquals(0, node.answers(1));
+    }
+
     @Test
     void aStateThatIsGoneIsReadAnew() {
         Node node = small();
