Give a silent watch up after 3.75 s, and call again 3.5 s after a refusal at the latest

What a silent watch misses counts as told 6 s after it fell silent, and a change 6 s after discovery had it, whatever became of the call before. PlatformWatch heard a silent call out for 7.5 s and paused up to 8 s after a refusal.

At fault: PlatformWatch.WAIT_MS, GRACE_MS and MOST_REFUSED_MS.

A call now waits 1.5 s for news and is given up 2.25 s past that, so that the next one is answered within 6 s even by a discovery that takes its 2 s. A call that goes on within 200 ms costs nothing. After a refusal the window is at most 3.5 s, counted from the start of the refused call; BackOff owns it, and nodes draw their own times in it.

PlatformWatchTest.aCallThatFallsSilent... fails without it; BackOffTest holds the bounds of the waits.

--- a/src/main/java/maplerail/discovery/PlatformWatch.java
+++ b/src/main/java/maplerail/discovery/PlatformWatch.java
@@ -4,7 +4,6 @@
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Methods;
 import java.net.InetSocketAddress;
-import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import maplerail.config.ConfigException;
 import maplerail.config.EngineList;
@@ -21,13 +20,13 @@
 /** Watches the platform's list: each next call follows the last answer at once, well within 200 ms. */
 public final class PlatformWatch {
     private static final Logger LOG = LoggerFactory.getLogger(PlatformWatch.class);
-    private static final long WAIT_MS = 5_000; // an answer that was lost is missed for no longer
+    /**
+     * What a call may wait for news. With the grace and the next call's answer it has to stay under the 6 s after
+     * which a change counts as told that a silent call missed.
+     */
+    private static final long WAIT_MS = 1_500;
     /** Past its wait, after which a call is held to be lost; a discovery that is behind answers after 2 s at the latest. */
-    private static final double GRACE_MS = 2_500;
-    private static final double AGAIN_MS = 50; // before a call that follows one of which nothing useful came
-    /** What a busy discovery takes for a call, as seen in service: the nodes that it refused share out its time. */
-    private static final double TURN_MS = 400;
-    private static final double MOST_REFUSED_MS = 8_000; // between two calls of a node, however many nodes there are
+    private static final double GRACE_MS = 2_250;
     private static final double DOUBT_MS = 2_000; // after a move, in which a list older than ours is not believed
 
     private final Pool pool;
@@ -35,27 +34,20 @@
     private InetSocketAddress at;
     private final Names names;
     private final Consumer<EngineList> news;
-    private final SplittableRandom random;
-    private final double roundMs;
-    private double refusedMs;
+    private final BackOff backOff;
     private String trouble = "";
     private long version = -1;
     private long newest = -1; // of what was told at any address
     private double doubtUntilMs = Double.NEGATIVE_INFINITY;
 
-    /**
-     * Makes a watch that tells each piece of news. After a refusal it waits for a time within a round of all nodes,
-     * drawn from the seed, so that nodes differ.
-     */
+    /** Makes a watch that tells each piece of news, for one of so many nodes. */
     public PlatformWatch(Pool pool, XnioLoop loop, InetSocketAddress at, Names names, int nodes, long seed,
             Consumer<EngineList> news) {
         this.pool = pool;
         this.loop = loop;
         this.at = at;
         this.names = names;
-        this.roundMs = Math.min(MOST_REFUSED_MS, nodes * TURN_MS);
-        this.refusedMs = roundMs;
-        this.random = new SplittableRandom(seed);
+        this.backOff = new BackOff(nodes, seed);
         this.news = news;
     }
 
@@ -76,7 +68,7 @@
         if (to.equals(at)) return;
         at = to;
         version = -1;
-        refusedMs = roundMs;
+        backOff.reset();
         doubtUntilMs = loop.nowMs() + DOUBT_MS;
         ask();
     }
@@ -89,6 +81,7 @@
 
     private final class Asked extends TextReply {
         private final InetSocketAddress asked = at;
+        private final double askedMs = loop.nowMs();
         private boolean refused;
 
         void start(ClientRequest request) {
@@ -121,7 +114,7 @@
             if (asked.equals(at)) {
                 if (older) return false;
                 version = list.version();
-                refusedMs = roundMs;
+                backOff.reset();
                 ask();
             }
             if (older) return true;
@@ -133,9 +126,8 @@
         @Override
         protected void none() {
             if (!asked.equals(at)) return; // the other address has its own call out
-            double afterMs = refused ? Math.max(AGAIN_MS, refusedMs * random.nextDouble()) : AGAIN_MS;
-            if (refused) refusedMs = Math.min(MOST_REFUSED_MS, 2 * refusedMs);
-            loop.at(loop.nowMs() + afterMs, () -> {
+            double now = loop.nowMs();
+            loop.at(refused ? backOff.againMs(askedMs, now) : now + BackOff.LEAST_MS, () -> {
                 if (asked.equals(at)) ask();
             });
         }
--- a/src/test/java/maplerail/discovery/PlatformWatchTest.java
+++ b/src/test/java/maplerail/discovery/PlatformWatchTest.java
@@ -34,6 +34,24 @@
         }
     }
 
+    /** What a silent call missed counts as told 6 s after it fell silent. */
+    @Test
+    void aCallThatFallsSilentIsFollowedByAnotherWithinTheTimeToBeTold() throws Exception {
+        List<Long> atNanos = new CopyOnWriteArrayList<>();
+        try (StandIn reader = World.reader(); StandIn writer = World.writer();
+                StandIn agent = new StandIn(x -> {
+                    atNanos.add(System.nanoTime());
+                    if (atNanos.size() > 1) x.awaitEnd();
+                    else x.reply(200, "{\"seq\":7,\"whole\":true,\"hosts\":[]}");
+                });
+                World world = new World().engine("r", "prefill", reader).engine("w", "decode", writer)
+                        .discoveredBy(agent)) {
+            world.start();
+            await("opened anew", () -> atNanos.size() >= 3);
+            assertThat(atNanos.get(2) - atNanos.get(1)).isLessThan(4_500_000_000L);
+        }
+    }
+
     /** All nodes restart at once in a release, and each whole list takes an overloaded discovery's time. */
     @Test
     void aNodeGoesOnFromTheListThatItKnows() throws Exception {
