Withdraw all unsent attempts on news of a drain, also when the module sends others meanwhile

The module answers the end of a withdrawn attempt with another attempt, which changes the list that is being walked; the attempts behind it stay queued for engines that drain.

Ruled out: an answer of discovery that can't be read (the list had been taken). At fault: Send.withdrawUnsent; Call.read, whose own log line failed on a call that was done.

Both walks of a request's attempts take a copy. Call tells a fault of ours with its cause. BrokerTest fails without the copy.

--- a/src/main/java/maplerail/core/Send.java
+++ b/src/main/java/maplerail/core/Send.java
@@ -1,6 +1,7 @@
 package maplerail.core;
 
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Set;
 import maplerail.Router;
 import maplerail.Router.Outcome;
@@ -115,13 +116,14 @@
 
     /** The caller has left: nobody reads a stream either. */
     void cutAll(Entry entry) {
-        for (Entry.Try attempt : entry.tries) cut(attempt, Outcome.CANCELLED);
+        for (Entry.Try attempt : List.copyOf(entry.tries)) cut(attempt, Outcome.CANCELLED);
     }
 
     /** What has not left this machine must not follow the news that its engine wants nothing more. */
     void withdrawUnsent() {
         for (Entry entry : book.all()) {
-            for (Entry.Try attempt : entry.tries) {
+            // A copy, as the module may answer the end of one with another.
+            for (Entry.Try attempt : List.copyOf(entry.tries)) {
                 boolean unsent = !attempt.ended && attempt.sending != null && attempt.sending.unsent();
                 if (unsent && !fleet.ready(attempt.engine)) cut(attempt, Outcome.UNREACHABLE);
             }
--- a/src/main/java/maplerail/net/Call.java
+++ b/src/main/java/maplerail/net/Call.java
@@ -130,8 +130,11 @@
                 if (count < 0 && !reader.ended()) throw new IOException("the connection ended within the answer");
                 if (reader.done()) end(count > 0 && !buffer.hasRemaining());
             }
-        } catch (IOException | RuntimeException e) {
-            LOG.debug("{}: {}", link.to, e.getMessage(), e);
+        } catch (IOException e) {
+            LOG.debug("an answer broke off or cannot be read", e);
+            fail();
+        } catch (RuntimeException e) {
+            LOG.warn("an answer could not be passed on", e); // a fault of ours: it costs this call and must be seen
             fail();
         } finally {
             reading = false;
--- a/src/test/java/maplerail/core/BrokerTest.java
+++ b/src/test/java/maplerail/core/BrokerTest.java
@@ -30,6 +30,7 @@
     private final List<String> caller = new ArrayList<>();
     private boolean ready = true;
     private boolean unsent;
+    private Runnable whenAborted = () -> { };
     private boolean broken;
     private Broker broker;
 
@@ -78,6 +79,7 @@
         @Override
         public void abort() {
             aborted = true;
+            whenAborted.run();
         }
 
         @Override
@@ -322,6 +324,22 @@
         assertThat(outcomes()).containsExactly(Outcome.UNREACHABLE, Outcome.NOT_SENT);
     }
 
+    /** The module sends what was withdrawn elsewhere at once, while others wait to be withdrawn. */
+    @Test
+    void allThatHasNotGoneOutObeysADrainThoughOthersAreSentMeanwhile() {
+        take("a", send(WRITER));
+        take("b", new Router.Send(2, WRITER, 0));
+        unsent = true;
+        whenAborted = () -> {
+            if (out.size() == 2) next.add(send(READER));
+        };
+        list(State.DRAINING);
+        assertThat(out.get(0).aborted).isTrue();
+        assertThat(out.get(1).aborted).isTrue();
+        assertThat(out).hasSize(3);
+        assertThat(out.get(2).aborted).isFalse();
+    }
+
     @Test
     void aStreamThatIsTheCallersIsNotCalledOffAndASecondOneIs() {
         take("a", send(WRITER), send(WRITER));
