See a client leave also when it sent further requests first, and before its first attempt

Ruled out: waits between attempts and queues for connections; a request that is abandoned is closed in the module, and its calls are ended, within the same turn of the loop. At fault: Answer.watch.

Early bytes are kept in their order, up to 64 KiB, and reading goes on. A client whose end has come with its request is noticed before the request is taken.

--- a/src/main/java/maplerail/front/platform/Answer.java
+++ b/src/main/java/maplerail/front/platform/Answer.java
@@ -4,6 +4,7 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.protocol.http.HttpServerConnection;
 import io.undertow.util.Headers;
+import io.undertow.util.ImmediatePooledByteBuffer;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
@@ -12,12 +13,12 @@
 import maplerail.core.Ticket;
 import org.xnio.IoUtils;
 import org.xnio.channels.StreamSinkChannel;
-import org.xnio.conduits.ConduitStreamSourceChannel;
 import org.xnio.conduits.StreamSourceConduit;
 
 /** A client's open request: relays a stream to it as it comes, or words the one final answer. */
 final class Answer implements Caller {
     private static final int MOST_WAITING = 64 * 1024; // bytes that the client has not taken yet
+    private static final int MOST_EARLY = 64 * 1024; // bytes of further requests; with more unread, none is watched
 
     private final HttpServerExchange exchange;
     private final ArrayDeque<ByteBuffer> waiting = new ArrayDeque<>();
@@ -32,9 +33,9 @@
         this.exchange = exchange;
     }
 
+    /** From now on the client's leaving is told to this ticket. */
     void hold(Ticket held) {
         ticket = held;
-        if (!over) watch();
     }
 
     boolean over() {
@@ -43,35 +44,48 @@
 
     /**
      * Between a request and its answer nothing is read from a client, so nobody would see it leave: look for
-     * the end of its side here. The framing's own channel says that too, at the end of the body.
+     * the end of its side here, at once and from now on. The framing's own channel says that too, at the end of the
+     * body.
      */
-    private void watch() {
+    void watch() {
         if (!(exchange.getConnection() instanceof HttpServerConnection connection)) return;
         StreamSourceConduit raw = connection.getOriginalSourceConduit();
-        ConduitStreamSourceChannel source = connection.getChannel().getSourceChannel();
-        source.setReadListener(c -> {
-            if (over) {
-                raw.suspendReads(); // what has come is the next request's: the server reads it after this one
-                return;
-            }
-            PooledByteBuffer early = connection.getByteBufferPool().allocate();
-            try {
-                int count = raw.read(early.getBuffer());
-                if (count < 0) left();
-                if (count > 0) {
-                    // Not gone but early: the server reads it as the next request, after this one.
-                    early.getBuffer().flip();
-                    connection.ungetRequestBytes(early);
-                    raw.suspendReads();
-                    early = null;
-                }
-            } catch (IOException e) {
-                left();
-            } finally {
-                if (early != null) early.close();
-            }
-        });
-        raw.resumeReads();
+        connection.getChannel().getSourceChannel().setReadListener(c -> look(connection, raw));
+        look(connection, raw);
+        if (!over) raw.resumeReads();
+    }
+
+    private void look(HttpServerConnection connection, StreamSourceConduit raw) {
+        if (over) {
+            raw.suspendReads(); // what has come is the next request's: the server reads it after this one
+            return;
+        }
+        PooledByteBuffer early = connection.getByteBufferPool().allocate();
+        try {
+            int count = raw.read(early.getBuffer());
+            if (count < 0) left();
+            if (count <= 0) return;
+            early.getBuffer().flip();
+            // Not gone but early. Reading goes on, as the end of its side would stand behind that.
+            if (setAside(connection, early.getBuffer()) > MOST_EARLY) raw.suspendReads();
+        } catch (IOException e) {
+            left();
+        } finally {
+            early.close();
+        }
+    }
+
+    /** Keeps what came early for the server, which reads it as the next request; how much is kept now. */
+    private static int setAside(HttpServerConnection connection, ByteBuffer early) {
+        PooledByteBuffer before = connection.getExtraBytes();
+        int kept = before == null ? 0 : before.getBuffer().remaining();
+        ByteBuffer all = ByteBuffer.allocate(kept + early.remaining());
+        if (before != null) {
+            all.put(before.getBuffer());
+            before.close();
+        }
+        connection.setExtraBytes(new ImmediatePooledByteBuffer(all.put(early).flip()));
+        return all.remaining();
     }
 
     private void left() {
--- a/src/main/java/maplerail/front/platform/PlatformFront.java
+++ b/src/main/java/maplerail/front/platform/PlatformFront.java
@@ -84,6 +84,8 @@
             answer.refuse(Caller.Why.OVERLOAD, 0);
             return;
         }
-        answer.hold(broker.take(ask, answer));
+        // Whoever sent a request and left again must not be served before anybody looks.
+        answer.watch();
+        if (!answer.over()) answer.hold(broker.take(ask, answer));
     }
 }
