Go on with a release for 2 s, as its engine may come back into reach after the limit

The release was given up after 500 ms, while the rule counts 800 ms and the reader holds the state for as long as nobody asks.

Ruled out: a release that was not sent (the state is let go in the turn in which the booking fails). A cut that lasts longer than the rule's time can't be mended here. At fault: Book.letGo, which let the time of the rule end the tries.

BrokerTest fails without the change.

--- a/src/main/java/maplerail/core/Book.java
+++ b/src/main/java/maplerail/core/Book.java
@@ -9,6 +9,8 @@
     /** After a cut, when what a reader finished all the same is let go: soon, and within the limit of any later end. */
     private static final double[] AGAIN_MS = {120, 400, 750, 1_100, 1_600};
     private static final double JUST_CUT_MS = 150;
+    /** For which a release is tried, in pin limits: an engine that comes back into reach later still holds the state. */
+    private static final double TRIED_LIMITS = 4;
 
     private final Engines engines;
     private final Loop loop;
@@ -68,7 +70,7 @@
     private void letGo(Entry entry, long engine) {
         entry.mayHold.remove(engine);
         entry.holds.remove(engine);
-        engines.release(engine, entry.ask.id(), loop.nowMs() + pinLimitMs);
+        engines.release(engine, entry.ask.id(), loop.nowMs() + TRIED_LIMITS * pinLimitMs);
         // Guards against a release that overtakes the end of a connection, and against a reader that goes on reading
         // though nobody waits: the state that it leaves then is held like any other.
         if (loop.nowMs() - entry.lastCutMs >= JUST_CUT_MS) return;
--- a/src/test/java/maplerail/core/BrokerTest.java
+++ b/src/test/java/maplerail/core/BrokerTest.java
@@ -27,6 +27,7 @@
     private final List<Router.Action> next = new ArrayList<>();
     private final List<Out> out = new ArrayList<>();
     private final List<String> released = new ArrayList<>();
+    private double releasedForMs;
     private final List<String> caller = new ArrayList<>();
     private boolean ready = true;
     private boolean unsent;
@@ -115,6 +116,7 @@
             @Override
             public void release(long engine, String id, double untilMs) {
                 released.add(engine + "/" + id);
+                releasedForMs = untilMs - loop.now;
             }
         };
         broker = new Broker(router, settings, new Admit(Budgets.open(3), loop), loop, engines, line -> { });
@@ -269,6 +271,7 @@
         assertThat(out.get(1).aborted).isTrue();
         assertThat(outcomes()).containsExactly(Outcome.READ, Outcome.CANCELLED);
         assertThat(released).contains("1/a");
+        assertThat(releasedForMs).as("its engine may be out of reach for longer than the limit").isGreaterThan(1_000);
         out.get(1).answer.event(new byte[1]);
         out.get(1).answer.ended(Outcome.SERVED, 0);
         assertThat(caller).isEmpty();
