Let the agent confirm an old list before a new process says that it is ready

A gateway that came up with a `known` list was ready at once and asked for news with a call that may wait; between the two it could send to an engine that had begun to drain while it was down.

Ruled out as a cost: on pushed lists a call costs nothing; where lists are asked for, the start stays as it was. At fault: Gateway.start and PlatformWatch.from.

The first call no longer waits for news, and the gateway is ready when it is answered, or after 0.5 s if discovery is silent. PlatformWatchTest fails without it.

--- a/src/main/java/maplerail/cli/Gateway.java
+++ b/src/main/java/maplerail/cli/Gateway.java
@@ -43,6 +43,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(Gateway.class);
     private static final double ARRIVING_MS = 600; // after the signal to stop, that connections may arrive for
     private static final double LOOK_MS = 20;
+    private static final double CONFIRM_MS = 500; // for the agent on this machine to say what has changed
     private static final int BUFFER = 8 * 1024;
     private static final int MOST_HEAD = 16 * 1024; // bytes of a request's head
     /** Of the descriptors: connections that clients may hold at either front. The rest is for engines. */
@@ -113,24 +114,33 @@
         return server.getLocalAddress(InetSocketAddress.class);
     }
 
-    /** Listens and serves; ready as soon as any list of engines is known. */
+    /** Listens and serves; ready as soon as a list of engines is known and, where it may be old, confirmed. */
     public void start() throws IOException {
         loop.execute(() -> {
-            EngineList known = config.known();
-            if (known != null) {
-                engines.addresses(known.addresses());
-                broker.members(new Router.Members(Router.ListKind.REMEMBERED, known.version(), known.members()));
-                if (!known.members().isEmpty()) watch.from(known.version());
-            }
+            remember(config.known());
             watch.ask();
             if (tools != null) tools.start();
-            if (known != null && !known.members().isEmpty()) ready();
         });
         server = listen(config.listen(), front, CLIENT_PERCENT, front::at);
         if (rpc != null) rpcServer = listen(rpcListen, rpc, RPC_PERCENT, rpc::at);
         LOG.info("{} listens on {}", config.name(), address());
     }
 
+    /**
+     * Goes on from the engines of an earlier life. Where lists are pushed, what the agent has counts as told from the
+     * start, so its answer, which costs nothing, is awaited before the front brings clients; a silent one not for long.
+     */
+    private void remember(EngineList known) {
+        if (known == null) return;
+        engines.addresses(known.addresses());
+        broker.members(new Router.Members(Router.ListKind.REMEMBERED, known.version(), known.members()));
+        if (known.members().isEmpty()) return;
+        boolean pushed = !config.settings().askForList();
+        watch.from(known.version(), pushed);
+        if (pushed) loop.at(loop.nowMs() + CONFIRM_MS, this::ready);
+        else ready();
+    }
+
     /** Past the high water nothing is accepted: what waits there costs no descriptor, and engines stay in reach. */
     private AcceptingChannel<?> listen(InetSocketAddress at, HttpHandler handler, int percent, Consumer<Door> through)
             throws IOException {
--- a/src/main/java/maplerail/discovery/PlatformWatch.java
+++ b/src/main/java/maplerail/discovery/PlatformWatch.java
@@ -38,6 +38,7 @@
     private String trouble = "";
     private long version = -1;
     private long newest = -1; // of what was told at any address
+    private boolean unconfirmed; // what is known is of an earlier life: the first call must not wait for news
     private double doubtUntilMs = Double.NEGATIVE_INFINITY;
 
     /** Makes a watch that tells each piece of news, for one of so many nodes. */
@@ -51,18 +52,26 @@
         this.news = news;
     }
 
-    /** Goes on from a list that is known, so that discovery need not send it again; called before the first call. */
-    public void from(long known) {
+    /**
+     * Goes on from a list that is known, so that discovery need not send it again; called before the first call. That
+     * call is answered at once where the list has to be confirmed, and waits for news where it need not be.
+     */
+    public void from(long known, boolean confirm) {
         version = known;
         newest = known;
+        unconfirmed = confirm;
     }
 
     /** Asks for the whole list, unless one is known, then for changes, for good. */
     public void ask() {
-        String target = "/api/targets" + (version < 0 ? "" : "?index=" + version + "&wait=" + WAIT_MS);
+        String target = "/api/targets" + (version < 0 ? "" : "?index=" + version + "&wait=" + waitMs());
         new Asked().start(Requests.to(at, Methods.GET, target));
     }
 
+    private long waitMs() {
+        return version < 0 || unconfirmed ? 0 : WAIT_MS;
+    }
+
     /** Asks at another address from now on. The call that is still out at the old one is heard to its end. */
     public void move(InetSocketAddress to) {
         if (to.equals(at)) return;
@@ -87,7 +96,7 @@
         void start(ClientRequest request) {
             Call call = pool.start(at, request, new byte[0], this);
             // Guards against an agent that was cut off: its connection would stay open and silent.
-            loop.at(loop.nowMs() + (version < 0 ? GRACE_MS : WAIT_MS + GRACE_MS), () -> expire(call));
+            loop.at(loop.nowMs() + waitMs() + GRACE_MS, () -> expire(call));
         }
 
         @Override
@@ -114,6 +123,7 @@
             if (asked.equals(at)) {
                 if (older) return false;
                 version = list.version();
+                unconfirmed = false;
                 backOff.reset();
                 ask();
             }
--- a/src/test/java/maplerail/discovery/PlatformWatchTest.java
+++ b/src/test/java/maplerail/discovery/PlatformWatchTest.java
@@ -2,13 +2,16 @@
 
 import static maplerail.support.World.await;
 import static maplerail.support.World.request;
+import static maplerail.support.World.take;
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 import maplerail.config.NodeConfig;
+import maplerail.core.Lifecycle.Phase;
 import maplerail.support.StandIn;
 import maplerail.support.World;
 import org.junit.jupiter.api.Test;
@@ -63,6 +66,30 @@
         }
     }
 
+    /** Where lists are pushed, what the agent has counts as told before the first request comes. */
+    @Test
+    void aNodeIsNotReadyOnAnOldListBeforeItsAgentHasSaidWhatChanged() throws Exception {
+        BlockingQueue<StandIn.Exchange> first = World.queue();
+        try (StandIn reader = World.reader(); StandIn writer = World.writer(); StandIn other = World.writer();
+                StandIn agent = new StandIn(x -> {
+                    if (x.target.endsWith("wait=0")) first.add(x);
+                    else x.awaitEnd();
+                });
+                World world = new World().engine("r", "prefill", reader).engine("w1", "decode", writer)
+                        .engine("w2", "decode", other).discoveredBy(agent)) {
+            world.begin();
+            StandIn.Exchange asked = take(first);
+            assertThat(world.gateway.phase()).isEqualTo(Phase.STARTING);
+            asked.reply(200, "{\"seq\":9,\"whole\":false,\"hosts\":[{\"host\":\"w1\",\"dial\":\"" + writer.address()
+                    + "\",\"site\":\"caerdydd\",\"class\":\"decode\",\"block\":1,\"health\":\"terminating\"}]}");
+            await("ready", () -> world.gateway.phase() == Phase.READY);
+            for (int i = 0; i < 10; i++) {
+                assertThat(world.exchange(request("a" + i, "lookup", "5.0"))).startsWith("HTTP/1.1 200");
+            }
+            assertThat(writer.count("POST")).isZero();
+        }
+    }
+
     /** A new agent that has yet to hear the news would list an engine that drains as ready once more. */
     @Test
     void aListOlderThanOursIsNotBelievedAfterAMove() throws Exception {
--- a/src/test/java/maplerail/support/World.java
+++ b/src/test/java/maplerail/support/World.java
@@ -40,7 +40,7 @@
     public World() throws IOException {
         discovery = new StandIn(exchange -> {
             int mark = exchange.target.indexOf("index=");
-            if (mark >= 0) awaitAfter(Long.parseLong(exchange.target.substring(mark + 6).split("&")[0]));
+            if (mark >= 0 && !exchange.target.endsWith("wait=0")) awaitAfter(Long.parseLong(exchange.target.substring(mark + 6).split("&")[0]));
             exchange.reply(200, list());
         });
     }
@@ -89,10 +89,20 @@
     }
 
     public World start(String tools) throws Exception {
+        begin(tools);
+        await("ready", () -> gateway.phase() == Phase.READY);
+        return this;
+    }
+
+    /** Starts the gateway and does not wait until it is ready. */
+    public World begin() throws Exception {
+        return begin(null);
+    }
+
+    private World begin(String tools) throws Exception {
         gateway = new Gateway(NodeConfig.read(config("127.0.0.1:0"), Map.of()),
                 tools == null ? null : ToolsConfig.read(tools));
         gateway.start();
-        await("ready", () -> gateway.phase() == Phase.READY);
         return this;
     }
 
