--- a/src/main/java/maplerail/cli/Gateway.java
+++ b/src/main/java/maplerail/cli/Gateway.java
@@ -16,13 +16,13 @@
 import maplerail.config.EngineList;
 import maplerail.config.NodeConfig;
 import maplerail.config.ToolsConfig;
-import maplerail.core.Admit;
+import maplerail.core.Quotas;
 import maplerail.core.Broker;
 import maplerail.core.Budgets;
 import maplerail.core.Lifecycle;
 import maplerail.core.Lifecycle.Phase;
 import maplerail.discovery.PlatformWatch;
-import maplerail.front.Door;
+import maplerail.front.ClientListener;
 import maplerail.front.jsonrpc.RpcFront;
 import maplerail.front.platform.PlatformFront;
 import maplerail.net.EngineClient;
@@ -67,7 +67,7 @@
     private final InetSocketAddress rpcListen;
     private AcceptingChannel<?> server;
     private AcceptingChannel<?> rpcServer;
-    private final List<Door> doors = new ArrayList<>();
+    private final List<ClientListener> listeners = new ArrayList<>();
 
     /** Makes a gateway that does not listen yet; {@code toolsConfig} is null where the second front is off. */
     public Gateway(NodeConfig config, ToolsConfig toolsConfig) throws IOException {
@@ -84,7 +84,7 @@
                 sockets - OWN_SOCKETS - sockets * CLIENT_PERCENT / 100 - tooling);
         engines = new EngineClient(pool);
         Router.Settings settings = config.settings();
-        broker = new Broker(new Logic(settings), settings, new Admit(Budgets.open(config.wire().maxOpen()), loop), loop,
+        broker = new Broker(new Logic(settings), settings, new Quotas(Budgets.open(config.wire().maxOpen()), loop), loop,
                 engines, line -> LOG.info("{}", line));
         front = new PlatformFront(broker, config.names(), lifecycle);
         watch = new PlatformWatch(pool, loop, config.discovery(), config.names(), settings.routers(),
@@ -142,18 +142,18 @@
     }
 
     /** Past the high water nothing is accepted: what waits there costs no descriptor, and engines stay in reach. */
-    private AcceptingChannel<?> listen(InetSocketAddress at, HttpHandler handler, int percent, Consumer<Door> through)
+    private AcceptingChannel<?> listen(InetSocketAddress at, HttpHandler handler, int percent, Consumer<ClientListener> through)
             throws IOException {
         HttpOpenListener http = new HttpOpenListener(buffers, OptionMap.builder()
                 .set(UndertowOptions.ALWAYS_SET_DATE, false).set(UndertowOptions.MAX_HEADER_SIZE, MOST_HEAD)
                 .set(UndertowOptions.BUFFER_PIPELINED_DATA, true).getMap());
         http.setRootHandler(handler);
         int most = config.wire().sockets() * percent / 100;
-        Door door = new Door(http, loop, most);
-        doors.add(door);
-        through.accept(door);
+        ClientListener listener = new ClientListener(http, loop, most);
+        listeners.add(listener);
+        through.accept(listener);
         AcceptingChannel<?> listening = worker.createStreamConnectionServer(at,
-                ChannelListeners.openListenerAdapter(door),
+                ChannelListeners.openListenerAdapter(listener),
                 OptionMap.builder().set(Options.BACKLOG, 1_024).set(Options.TCP_NODELAY, true)
                         .set(Options.CONNECTION_HIGH_WATER, most).set(Options.CONNECTION_LOW_WATER, most - 1).getMap());
         listening.resumeAccepts();
@@ -196,8 +196,8 @@
 
     private void finish() {
         if (lifecycle.phase() == Phase.DRAINING) lifecycle.move(Phase.FINISHING);
-        doors.get(0).closeIdle();
-        if (doors.get(0).busy() > 0 || remembered() > 0 || rpc != null && rpc.openRequests() > 0) {
+        listeners.get(0).closeIdle();
+        if (listeners.get(0).busy() > 0 || remembered() > 0 || rpc != null && rpc.openRequests() > 0) {
             loop.at(loop.nowMs() + LOOK_MS, this::finish);
             return;
         }
@@ -211,7 +211,7 @@
     public void stop() {
         loop.execute(() -> {
             IoUtils.safeClose(server, rpcServer);
-            doors.forEach(Door::close);
+            listeners.forEach(ClientListener::close);
             worker.shutdownNow();
         });
     }
--- a/src/main/java/maplerail/cli/ToolServices.java
+++ b/src/main/java/maplerail/cli/ToolServices.java
@@ -10,7 +10,7 @@
 import maplerail.config.EngineIds;
 import maplerail.config.EngineList;
 import maplerail.config.ToolsConfig;
-import maplerail.core.Admit;
+import maplerail.core.Quotas;
 import maplerail.core.Broker;
 import maplerail.discovery.ConsulWatch;
 import maplerail.net.Pool;
@@ -39,11 +39,11 @@
         this.loop = loop;
         this.pool = new Pool(loop, buffers, IDLE_MS, CONNECT_MS, mostConnections);
         Router.Settings settings = config.settings(seed);
-        Admit admit = new Admit(config.budgets(MOST_OPEN), loop);
+        Quotas quotas = new Quotas(config.budgets(MOST_OPEN), loop);
         for (String name : config.services().keySet()) {
             ToolClient client = new ToolClient(pool);
             clients.put(name, client);
-            brokers.put(name, new Broker(new Logic(settings), settings, admit, loop, client,
+            brokers.put(name, new Broker(new Logic(settings), settings, quotas, loop, client,
                     line -> LOG.info("{}: {}", name, line)));
         }
     }
--- a/src/main/java/maplerail/core/TakeIn.java
+++ b/src/main/java/maplerail/core/Admission.java
@@ -4,13 +4,13 @@
 import java.util.Map;
 
 /** First stage: gives each request its number and a page in the book. */
-final class TakeIn {
+final class Admission {
     private final Loop loop;
     private final Book book;
     private final Map<String, Entry> open = new HashMap<>();
     private long last;
 
-    TakeIn(Loop loop, Book book) {
+    Admission(Loop loop, Book book) {
         this.loop = loop;
         this.book = book;
     }
--- a/src/main/java/maplerail/core/Ask.java
+++ b/src/main/java/maplerail/core/Ask.java
@@ -1,9 +1,9 @@
 package maplerail.core;
 
 /**
- * A request as a front understood it: the facts that decide, by place in the settings, and the cargo.
- * {@code id} is the caller's own and unique while the request is open; {@code size} is the cargo's in bytes.
+ * A request as a front understood it: the facts that decide, by place in the settings, and the payload.
+ * {@code id} is the caller's own and unique while the request is open; {@code size} is the payload's in bytes.
  */
 public record Ask(String id, int kind, int tenant, long session, double promptTokens, long prefix,
         double prefixTokens, double budgetMs, double maxOutput, double hintMs, boolean resumed, int size,
-        Cargo cargo) { }
+        Payload payload) { }
--- a/src/main/java/maplerail/core/Book.java
+++ b/src/main/java/maplerail/core/Book.java
@@ -14,16 +14,16 @@
 
     private final Engines engines;
     private final Loop loop;
-    private final Admit admit;
+    private final Quotas quotas;
     private final double pinLimitMs;
     private final Map<Long, Entry> entries = new HashMap<>();
     private final Map<Long, Runnable> closers = new HashMap<>();
     private int unanswered;
 
-    Book(Engines engines, Loop loop, Admit admit, double pinLimitMs) {
+    Book(Engines engines, Loop loop, Quotas quotas, double pinLimitMs) {
         this.engines = engines;
         this.loop = loop;
-        this.admit = admit;
+        this.quotas = quotas;
         this.pinLimitMs = pinLimitMs;
     }
 
@@ -55,7 +55,7 @@
         entry.answered = true;
         unanswered--;
         if (entry.guard != null) entry.guard.cancel();
-        if (entry.admitted) admit.left(entry.ask);
+        if (entry.admitted) quotas.left(entry.ask);
         return true;
     }
 
--- a/src/main/java/maplerail/core/Broker.java
+++ b/src/main/java/maplerail/core/Broker.java
@@ -5,7 +5,7 @@
 import maplerail.core.Caller.Why;
 
 /**
- * Drives one decision module on one event loop. A request passes the stages take in, admit, route, send,
+ * Drives one decision module on one event loop. A request passes the stages admission, quotas, route, send,
  * relay and book; the broker knows requests, attempts and outcomes and no wire. All calls are made on the loop.
  */
 public final class Broker {
@@ -14,8 +14,8 @@
     private final Loop loop;
     private final Fleet fleet;
     private final Book book;
-    private final TakeIn takeIn;
-    private final Admit admit;
+    private final Admission admission;
+    private final Quotas quotas;
     private final Route route;
     private final Send send;
     private final Relay relay;
@@ -23,14 +23,14 @@
     private final Consumer<String> log;
 
     /** Makes a broker round a module that has just come up with these settings. */
-    public Broker(Router router, Router.Settings settings, Admit admit, Loop loop, Engines engines,
+    public Broker(Router router, Router.Settings settings, Quotas quotas, Loop loop, Engines engines,
             Consumer<String> log) {
         this.loop = loop;
         this.log = log;
         fleet = new Fleet(settings.kinds());
-        this.admit = admit;
-        book = new Book(engines, loop, admit, settings.rules().pinLimitMs());
-        takeIn = new TakeIn(loop, book);
+        this.quotas = quotas;
+        book = new Book(engines, loop, quotas, settings.rules().pinLimitMs());
+        admission = new Admission(loop, book);
         trail = new Trail(loop, log);
         relay = new Relay(book, loop, trail);
         send = new Send(engines, loop, fleet, book, relay, settings.limits().maxAttempts());
@@ -39,13 +39,13 @@
     }
 
     /** Takes a request; its caller gets its one final answer in any case. */
-    public Ticket take(Ask ask, Caller caller) {
-        Entry entry = takeIn.take(ask, caller);
+    public RequestHandle take(Ask ask, Caller caller) {
+        Entry entry = admission.take(ask, caller);
         if (entry == null) {
             caller.fail(Why.DUPLICATE);
             return new Closed();
         }
-        Admit.Denied denied = admit.check(ask);
+        Quotas.Denied denied = quotas.check(ask);
         if (denied != null) {
             book.answer(entry);
             book.settle(entry);
@@ -124,7 +124,7 @@
     }
 
     /** A request that was never open, or no longer is. */
-    private static final class Closed implements Ticket {
+    private static final class Closed implements RequestHandle {
         @Override
         public void gone() { }
 
@@ -132,7 +132,7 @@
         public void writable() { }
     }
 
-    private final class Open implements Ticket {
+    private final class Open implements RequestHandle {
         private final Entry entry;
 
         Open(Entry entry) {
--- a/src/main/java/maplerail/core/Caller.java
+++ b/src/main/java/maplerail/core/Caller.java
@@ -5,7 +5,7 @@
     /** Why a request was not served. */
     enum Why { INVALID, DUPLICATE, BUDGET, OVERLOAD, ENGINE, DEADLINE }
 
-    /** A piece of the answer, unchanged; false asks for a pause until {@link Ticket#writable()}. */
+    /** A piece of the answer, unchanged; false asks for a pause until {@link RequestHandle#writable()}. */
     boolean event(byte[] event);
 
     /** The answer is whole. */
--- a/src/main/java/maplerail/core/Admit.java
+++ b/src/main/java/maplerail/core/Quotas.java
@@ -8,7 +8,7 @@
  * Second stage: contracts and budgets, kept before anything is decided or sent. Brokers of several services may
  * share one, as a team's budget is for all of them.
  */
-public final class Admit {
+public final class Quotas {
     private static final double BURST_MS = 1_000; // of its rate that a team may use at once
     private static final double BUSY_MS = 100; // advice where calls in flight are the limit
     private static final double LOOK_MS = 20; // between two looks at how far the loop is behind
@@ -32,7 +32,7 @@
     record Denied(Why why, double retryAfterMs) { }
 
     /** Makes the keeper of these budgets. */
-    public Admit(Budgets budgets, Loop loop) {
+    public Quotas(Budgets budgets, Loop loop) {
         this.budgets = budgets;
         this.loop = loop;
     }
--- a/src/main/java/maplerail/core/Ticket.java
+++ b/src/main/java/maplerail/core/RequestHandle.java
@@ -1,7 +1,7 @@
 package maplerail.core;
 
 /** What a front holds while its request is open. */
-public interface Ticket {
+public interface RequestHandle {
     /** The caller has left. */
     void gone();
 
--- a/src/main/java/maplerail/discovery/BlockingQuery.java
+++ b/src/main/java/maplerail/discovery/BlockingQuery.java
@@ -48,7 +48,7 @@
 
     void ask() {
         String target = path + (index == 0 ? "" : "?index=" + index + "&wait=" + WAIT_S + "s");
-        Asked asked = new Asked();
+        QueryCall asked = new QueryCall();
         Call call = pool.start(at, Requests.to(at, Methods.GET, target), new byte[0], asked);
         loop.at(loop.nowMs() + WAIT_S * 1_000 + GRACE_MS, () -> asked.expire(call));
     }
@@ -62,7 +62,7 @@
         return index < last ? 0 : index;
     }
 
-    private final class Asked extends TextReply {
+    private final class QueryCall extends TextReply {
         private final InetSocketAddress asked = at;
 
         @Override
--- a/src/main/java/maplerail/discovery/PlatformWatch.java
+++ b/src/main/java/maplerail/discovery/PlatformWatch.java
@@ -65,7 +65,7 @@
     /** Asks for the whole list, unless one is known, then for changes, for good. */
     public void ask() {
         String target = "/api/targets" + (version < 0 ? "" : "?index=" + version + "&wait=" + waitMs());
-        new Asked().start(Requests.to(at, Methods.GET, target));
+        new WatchCall().start(Requests.to(at, Methods.GET, target));
     }
 
     private long waitMs() {
@@ -88,7 +88,7 @@
         trouble = now;
     }
 
-    private final class Asked extends TextReply {
+    private final class WatchCall extends TextReply {
         private final InetSocketAddress asked = at;
         private final double askedMs = loop.nowMs();
         private boolean refused;
--- a/src/main/java/maplerail/front/Door.java
+++ b/src/main/java/maplerail/front/ClientListener.java
@@ -24,8 +24,8 @@
  * nothing, or begin a request and don't end it, and makes room by ending those that have long been idle. Guards
  * against clients that hold a descriptor for nothing: without one no other client and no engine can be reached.
  */
-public final class Door implements ChannelListener<StreamConnection> {
-    private static final Logger LOG = LoggerFactory.getLogger(Door.class);
+public final class ClientListener implements ChannelListener<StreamConnection> {
+    private static final Logger LOG = LoggerFactory.getLogger(ClientListener.class);
     /** From the connection's start, or its request's first byte, until the request must be whole. */
     private static final double ARRIVE_MS = 2_500;
     private static final double IDLE_MS = 2_000; // for which a client may rely on an idle connection
@@ -42,16 +42,16 @@
     private final ChannelListener<StreamConnection> next;
     private final Loop loop;
     private final int most;
-    private final Map<StreamConnection, Guest> guests = new LinkedHashMap<>();
+    private final Map<StreamConnection, Tracked> tracked = new LinkedHashMap<>();
     private boolean looking;
 
-    private static final class Guest {
+    private static final class Tracked {
         State state = State.SILENT;
         double sinceMs;
     }
 
-    /** A door before a server's listener, through which at most so many connections should be at once. */
-    public Door(ChannelListener<StreamConnection> next, Loop loop, int most) {
+    /** A listener before the HTTP server's own, through which at most so many connections should be at once. */
+    public ClientListener(ChannelListener<StreamConnection> next, Loop loop, int most) {
         this.next = next;
         this.loop = loop;
         this.most = most;
@@ -59,10 +59,10 @@
 
     @Override
     public void handleEvent(StreamConnection connection) {
-        Guest guest = new Guest();
-        guest.sinceMs = loop.nowMs();
-        guests.put(connection, guest);
-        connection.getSourceChannel().setConduit(new Noticing(connection.getSourceChannel().getConduit(), guest));
+        Tracked client = new Tracked();
+        client.sinceMs = loop.nowMs();
+        tracked.put(connection, client);
+        connection.getSourceChannel().setConduit(new Noticing(connection.getSourceChannel().getConduit(), client));
         if (!looking) loop.at(loop.nowMs() + LOOK_MS, this::look);
         looking = true;
         next.handleEvent(connection);
@@ -70,11 +70,11 @@
 
     /** Sees the first byte of what comes, so that a connection with a request on its way does not count as idle. */
     private final class Noticing extends AbstractStreamSourceConduit<StreamSourceConduit> {
-        private final Guest guest;
+        private final Tracked client;
 
-        Noticing(StreamSourceConduit from, Guest guest) {
+        Noticing(StreamSourceConduit from, Tracked client) {
             super(from);
-            this.guest = guest;
+            this.client = client;
         }
 
         @Override
@@ -93,8 +93,8 @@
 
         private void came() {
             // A new connection's time to get its request in runs from its start: it may be fed a byte at a time.
-            if (guest.state == State.IDLE) guest.sinceMs = loop.nowMs();
-            if (guest.state == State.IDLE || guest.state == State.SILENT) guest.state = State.ARRIVING;
+            if (client.state == State.IDLE) client.sinceMs = loop.nowMs();
+            if (client.state == State.IDLE || client.state == State.SILENT) client.state = State.ARRIVING;
         }
     }
 
@@ -118,19 +118,19 @@
 
     private void set(HttpServerExchange exchange, State state) {
         ServerConnection connection = exchange.getConnection();
-        Guest guest = connection instanceof HttpServerConnection http ? guests.get(http.getChannel()) : null;
-        if (guest == null || guest.state == State.KEPT) return;
-        guest.state = state;
-        guest.sinceMs = loop.nowMs();
+        Tracked client = connection instanceof HttpServerConnection http ? tracked.get(http.getChannel()) : null;
+        if (client == null || client.state == State.KEPT) return;
+        client.state = state;
+        client.sinceMs = loop.nowMs();
     }
 
     private void look() {
         double now = loop.nowMs();
-        guests.keySet().removeIf(connection -> !connection.isOpen());
+        tracked.keySet().removeIf(connection -> !connection.isOpen());
         List<StreamConnection> ended = new ArrayList<>();
-        guests.forEach((connection, guest) -> {
-            double age = now - guest.sinceMs;
-            boolean late = switch (guest.state) {
+        tracked.forEach((connection, client) -> {
+            double age = now - client.sinceMs;
+            boolean late = switch (client.state) {
                 case SILENT, ARRIVING -> age >= ARRIVE_MS;
                 case IDLE -> age >= LONG_IDLE_MS;
                 default -> false;
@@ -138,15 +138,15 @@
             if (late) ended.add(connection);
         });
         ended.forEach(this::turnOut);
-        end(State.IDLE, guests.size() >= most - most / FULL_PART ? SILENT_MS : IDLE_MS, now);
+        end(State.IDLE, tracked.size() >= most - most / FULL_PART ? SILENT_MS : IDLE_MS, now);
         end(State.SILENT, SILENT_MS, now);
-        looking = !guests.isEmpty();
+        looking = !tracked.isEmpty();
         if (looking) loop.at(now + LOOK_MS, this::look);
     }
 
     private void turnOut(StreamConnection connection) {
-        Guest guest = guests.remove(connection);
-        if (guest.state == State.ARRIVING) {
+        Tracked client = tracked.remove(connection);
+        if (client.state == State.ARRIVING) {
             try {
                 connection.getSinkChannel().write(ByteBuffer.wrap(TOO_LATE));
             } catch (IOException e) {
@@ -158,9 +158,9 @@
 
     /** While room is short, ends those that have been in a state for the longest. */
     private void end(State state, double leastMs, double now) {
-        int over = guests.size() - (most - most / ROOM_PART);
+        int over = tracked.size() - (most - most / ROOM_PART);
         if (over <= 0) return;
-        guests.entrySet().stream()
+        tracked.entrySet().stream()
                 .filter(e -> e.getValue().state == state && now - e.getValue().sinceMs >= leastMs)
                 .sorted((a, b) -> Double.compare(a.getValue().sinceMs, b.getValue().sinceMs))
                 .limit(over).map(Map.Entry::getKey).toList().forEach(this::turnOut);
@@ -169,25 +169,25 @@
     /** Ends the connections on which nothing is open or on its way, for a program that is about to stop. */
     public void closeIdle() {
         List<StreamConnection> idle = new ArrayList<>();
-        guests.forEach((connection, guest) -> {
-            if (guest.state == State.IDLE || guest.state == State.SILENT) idle.add(connection);
+        tracked.forEach((connection, client) -> {
+            if (client.state == State.IDLE || client.state == State.SILENT) idle.add(connection);
         });
         idle.forEach(IoUtils::safeClose);
     }
 
     /** Ends all connections: the worker's end alone would leave them open. */
     public void close() {
-        List.copyOf(guests.keySet()).forEach(IoUtils::safeClose);
+        List.copyOf(tracked.keySet()).forEach(IoUtils::safeClose);
     }
 
     /** Connections on which a request is open or on its way. */
     public int busy() {
-        return (int) guests.entrySet().stream().filter(e -> e.getKey().isOpen()
+        return (int) tracked.entrySet().stream().filter(e -> e.getKey().isOpen()
                 && (e.getValue().state == State.OPEN || e.getValue().state == State.ARRIVING)).count();
     }
 
     /** Connections in all. */
     public int connections() {
-        return (int) guests.keySet().stream().filter(StreamConnection::isOpen).count();
+        return (int) tracked.keySet().stream().filter(StreamConnection::isOpen).count();
     }
 }
--- a/src/main/java/maplerail/front/jsonrpc/Answers.java
+++ b/src/main/java/maplerail/front/jsonrpc/Answers.java
@@ -15,8 +15,8 @@
 import maplerail.config.Tree;
 import maplerail.core.Ask;
 import maplerail.core.Broker;
-import maplerail.core.Ticket;
-import maplerail.net.HttpCargo;
+import maplerail.core.RequestHandle;
+import maplerail.net.HttpPayload;
 
 /** The method answers/stream: a completion from the platform's engines, by the platform's own broker. */
 final class Answers {
@@ -31,7 +31,7 @@
         this.names = names;
     }
 
-    Ticket start(RpcMessage message, String team, Session.Pending pending) {
+    RequestHandle start(RpcMessage message, String team, Session.Pending pending) {
         Tree params = Session.params(message);
         String kind = params.need("kind").text();
         int place = names.classes().indexOf(kind);
@@ -53,7 +53,7 @@
         if (key.matches("[0-9A-Za-z._~-]{1,128}")) add(headers, "Req-Key", key);
         headers.add(new SimpleImmutableEntry<>(Headers.CONTENT_TYPE, "application/json"));
         Ask ask = new Ask(id, place, tenant, EngineIds.key(key), prompt, 0, 0, deadlineMs, most, 0, false, body.length,
-                new HttpCargo(io.undertow.util.Methods.POST, "/v1/chat/completions", headers, body));
+                new HttpPayload(io.undertow.util.Methods.POST, "/v1/chat/completions", headers, body));
         return broker.take(ask, new AnswerCaller(pending));
     }
 
--- a/src/main/java/maplerail/front/jsonrpc/RpcFront.java
+++ b/src/main/java/maplerail/front/jsonrpc/RpcFront.java
@@ -19,8 +19,8 @@
 import maplerail.core.Broker;
 import maplerail.core.Lifecycle;
 import maplerail.core.Lifecycle.Phase;
-import maplerail.core.Ticket;
-import maplerail.front.Door;
+import maplerail.core.RequestHandle;
+import maplerail.front.ClientListener;
 
 /** JSON-RPC 2.0 over a WebSocket, one message for each text frame, for the teams that the operator's file names. */
 public final class RpcFront implements HttpHandler, Session.Methods {
@@ -32,7 +32,7 @@
     private final Lifecycle lifecycle;
     private final Set<Session> sessions = new HashSet<>();
     private final Set<WebSocketChannel> channels = new HashSet<>();
-    private Door door;
+    private ClientListener listener;
 
     /** Makes a front before the platform's broker and one broker for each service of tools. */
     public RpcFront(ToolsConfig config, Map<String, Broker> services, Broker platform, Names names, Lifecycle lifecycle) {
@@ -42,14 +42,14 @@
         this.lifecycle = lifecycle;
     }
 
-    /** Tells through which door the clients come. */
-    public void at(Door in) {
-        door = in;
+    /** Tells through which listener the clients come. */
+    public void at(ClientListener in) {
+        listener = in;
     }
 
     @Override
     public void handleRequest(HttpServerExchange exchange) throws Exception {
-        door.entered(exchange);
+        listener.entered(exchange);
         String owner = exchange.getRequestHeaders().getFirst("Req-Owner");
         int team = config.teams().stream().map(ToolsConfig.Team::name).toList().indexOf(owner);
         if (!exchange.getRequestPath().equals(config.path())) {
@@ -60,7 +60,7 @@
             exchange.setStatusCode(503).endExchange();
         } else {
             WebSocketConnectionCallback opened = (upgraded, channel) -> open(channel, team);
-            door.keep(exchange); // a session may be quiet for as long as its client likes
+            listener.keep(exchange); // a session may be quiet for as long as its client likes
             new WebSocketProtocolHandshakeHandler(opened).handleRequest(exchange);
         }
     }
@@ -100,7 +100,7 @@
     }
 
     @Override
-    public Ticket start(Session session, int team, RpcMessage message, Session.Pending pending) {
+    public RequestHandle start(Session session, int team, RpcMessage message, Session.Pending pending) {
         switch (message.method()) {
             case "tools/call" -> {
                 return tools.call(message, team, pending);
--- a/src/main/java/maplerail/front/jsonrpc/Session.java
+++ b/src/main/java/maplerail/front/jsonrpc/Session.java
@@ -10,7 +10,7 @@
 import maplerail.config.Json;
 import maplerail.config.Tree;
 import maplerail.core.Caller;
-import maplerail.core.Ticket;
+import maplerail.core.RequestHandle;
 
 /** One client's connection: answers that stream and tool calls, side by side. */
 final class Session {
@@ -29,7 +29,7 @@
     /** What a session asks of the program behind it. */
     interface Methods {
         /** Starts a request; {@code null} if it was answered at once. */
-        Ticket start(Session session, int team, RpcMessage message, Pending pending);
+        RequestHandle start(Session session, int team, RpcMessage message, Pending pending);
 
         /** True while new requests are wanted. */
         boolean open();
@@ -68,14 +68,14 @@
         } else {
             Pending pending = new Pending(message.id());
             open.put(message.id(), pending);
-            Ticket ticket;
+            RequestHandle handle;
             try {
-                ticket = methods.start(this, team, message, pending);
+                handle = methods.start(this, team, message, pending);
             } catch (ConfigException e) {
                 pending.finish(RpcError.PARAMS.answer(message.id(), e.getMessage(), ""));
                 return;
             }
-            pending.ticket = ticket;
+            pending.handle = handle;
         }
     }
 
@@ -84,7 +84,7 @@
         Pending pending = id == null ? null : open.get(id);
         if (pending == null) return;
         pending.finish(RpcError.CANCELLED.failed(id, "cancelled"));
-        if (pending.ticket != null) pending.ticket.gone();
+        if (pending.handle != null) pending.handle.gone();
     }
 
     /** The client has left: nobody waits for anything here. */
@@ -93,7 +93,7 @@
         closed = true;
         for (Pending pending : List.copyOf(open.values())) {
             pending.over = true;
-            if (pending.ticket != null) pending.ticket.gone();
+            if (pending.handle != null) pending.handle.gone();
         }
         open.clear();
     }
@@ -135,7 +135,7 @@
     /** A request that waits for its one final answer. */
     final class Pending {
         final String id;
-        private Ticket ticket;
+        private RequestHandle handle;
         private boolean paused;
         private boolean over;
 
@@ -171,9 +171,9 @@
         }
 
         private void goOn() {
-            if (!paused || ticket == null) return;
+            if (!paused || handle == null) return;
             paused = false;
-            ticket.writable();
+            handle.writable();
         }
     }
 
--- a/src/main/java/maplerail/front/jsonrpc/Tools.java
+++ b/src/main/java/maplerail/front/jsonrpc/Tools.java
@@ -10,8 +10,8 @@
 import maplerail.config.ToolsConfig;
 import maplerail.core.Ask;
 import maplerail.core.Broker;
-import maplerail.core.Ticket;
-import maplerail.net.ToolCargo;
+import maplerail.core.RequestHandle;
+import maplerail.net.ToolPayload;
 
 /** The methods tools/call and tools/list: calls go to the broker of the tool's service. */
 final class Tools {
@@ -25,7 +25,7 @@
         this.services = services;
     }
 
-    Ticket call(RpcMessage message, int team, Session.Pending pending) {
+    RequestHandle call(RpcMessage message, int team, Session.Pending pending) {
         Tree params = Session.params(message);
         String name = params.need("name").text();
         ToolsConfig.Tool tool = config.tools().get(name);
@@ -41,7 +41,7 @@
         int size = arguments.getBytes(StandardCharsets.UTF_8).length;
         Ask ask = new Ask(id, tool.contract(), team, 0, size / TOKEN_BYTES, 0, 0, contract.deadlineMs(),
                 contract.mostReply() / TOKEN_BYTES, 0, false, size,
-                new ToolCargo(config.services().get(tool.service()).path(), body, contract.mostReply()));
+                new ToolPayload(config.services().get(tool.service()).path(), body, contract.mostReply()));
         return services.get(tool.service()).take(ask, new ToolCaller(pending));
     }
 
--- a/src/main/java/maplerail/front/platform/Answer.java
+++ b/src/main/java/maplerail/front/platform/Answer.java
@@ -10,7 +10,7 @@
 import java.util.ArrayDeque;
 import java.util.Locale;
 import maplerail.core.Caller;
-import maplerail.core.Ticket;
+import maplerail.core.RequestHandle;
 import org.xnio.IoUtils;
 import org.xnio.channels.StreamSinkChannel;
 import org.xnio.conduits.StreamSourceConduit;
@@ -23,7 +23,7 @@
     private final HttpServerExchange exchange;
     private final ArrayDeque<ByteBuffer> waiting = new ArrayDeque<>();
     private int waitingBytes;
-    private Ticket ticket;
+    private RequestHandle handle;
     private StreamSinkChannel sink;
     private boolean paused;
     private boolean ending;
@@ -33,9 +33,9 @@
         this.exchange = exchange;
     }
 
-    /** From now on the client's leaving is told to this ticket. */
-    void hold(Ticket held) {
-        ticket = held;
+    /** From now on the client's leaving is told to this handle. */
+    void hold(RequestHandle held) {
+        handle = held;
     }
 
     boolean over() {
@@ -92,7 +92,7 @@
         if (over) return;
         over = true;
         IoUtils.safeClose(exchange.getConnection());
-        if (ticket != null) ticket.gone();
+        if (handle != null) handle.gone();
     }
 
     @Override
@@ -143,7 +143,7 @@
         }
         if (paused && !over && waitingBytes <= MOST_WAITING / 2) {
             paused = false;
-            ticket.writable();
+            handle.writable();
         }
     }
 
--- a/src/main/java/maplerail/front/platform/PlatformFront.java
+++ b/src/main/java/maplerail/front/platform/PlatformFront.java
@@ -13,7 +13,7 @@
 import maplerail.core.Caller;
 import maplerail.core.Lifecycle;
 import maplerail.core.Lifecycle.Phase;
-import maplerail.front.Door;
+import maplerail.front.ClientListener;
 import org.xnio.IoUtils;
 
 /** The platform's protocol before the broker: readiness, and one request for each exchange. */
@@ -24,7 +24,7 @@
     private final Broker broker;
     private final RequestReader reader;
     private final Lifecycle lifecycle;
-    private Door door;
+    private ClientListener listener;
 
     /** Makes a front for clients that name classes and tenants so. */
     public PlatformFront(Broker broker, Names names, Lifecycle lifecycle) {
@@ -33,15 +33,15 @@
         this.lifecycle = lifecycle;
     }
 
-    /** Tells through which door the clients come. */
-    public void at(Door in) {
-        door = in;
+    /** Tells through which listener the clients come. */
+    public void at(ClientListener in) {
+        listener = in;
     }
 
     @Override
     public void handleRequest(HttpServerExchange exchange) {
         ServerConnection connection = exchange.getConnection();
-        door.entered(exchange);
+        listener.entered(exchange);
         if (lifecycle.phase() != Phase.READY) exchange.getResponseHeaders().put(Headers.CONNECTION, "close");
         Answer answer = new Answer(exchange);
         if (exchange.getRequestURI().equals("/-/ready")) {
@@ -66,7 +66,7 @@
     }
 
     private void take(HttpServerExchange exchange, Answer answer, byte[] body) {
-        door.open(exchange);
+        listener.open(exchange);
         if (body.length > MOST_BYTES) {
             answer.say(413, "the body is too large");
             return;
--- a/src/main/java/maplerail/front/platform/RequestReader.java
+++ b/src/main/java/maplerail/front/platform/RequestReader.java
@@ -13,7 +13,7 @@
 import maplerail.config.EngineIds;
 import maplerail.config.Names;
 import maplerail.core.Ask;
-import maplerail.net.HttpCargo;
+import maplerail.net.HttpPayload;
 
 /** Turns a client's headers and body into an {@link Ask}; says what is wrong with one that it can't be made of. */
 final class RequestReader {
@@ -56,7 +56,7 @@
         return new Ask(id, kind, tenant, EngineIds.key(exchange.getRequestHeaders().getFirst("Req-Key")), prompt,
                 prefix, prefix == 0 ? 0 : tokens(extra, "prefix_len", 0), seconds * 1_000, most,
                 hint == null ? 0 : number(hint, "Req-Cost", MOST_S * 1_000), again, body.length,
-                new HttpCargo(exchange.getRequestMethod(), target(exchange), headers(exchange), body));
+                new HttpPayload(exchange.getRequestMethod(), target(exchange), headers(exchange), body));
     }
 
     private static String target(HttpServerExchange exchange) {
--- a/src/main/java/maplerail/net/EngineClient.java
+++ b/src/main/java/maplerail/net/EngineClient.java
@@ -43,16 +43,16 @@
 
     @Override
     public Sending send(long engine, Ask ask, double untilMs, Answer answer) {
-        HttpCargo cargo = (HttpCargo) ask.cargo();
+        HttpPayload payload = (HttpPayload) ask.payload();
         InetSocketAddress to = addresses.get(engine);
-        ClientRequest request = Requests.to(to, cargo.method(), cargo.target());
-        for (Map.Entry<HttpString, String> header : cargo.headers()) {
+        ClientRequest request = Requests.to(to, payload.method(), payload.target());
+        for (Map.Entry<HttpString, String> header : payload.headers()) {
             request.getRequestHeaders().add(header.getKey(), header.getValue());
         }
         double left = Math.max(1, untilMs - loop.nowMs()) / 1_000;
         request.getRequestHeaders().put(DEADLINE, String.format(Locale.ROOT, "%.3f", left));
-        request.getRequestHeaders().put(Headers.CONTENT_LENGTH, cargo.body().length);
-        Call call = pool.start(to, request, cargo.body(), new Incoming(answer));
+        request.getRequestHeaders().put(Headers.CONTENT_LENGTH, payload.body().length);
+        Call call = pool.start(to, request, payload.body(), new Incoming(answer));
         return new Sent(call);
     }
 
--- a/src/main/java/maplerail/net/HttpCargo.java
+++ b/src/main/java/maplerail/net/HttpPayload.java
@@ -3,8 +3,8 @@
 import io.undertow.util.HttpString;
 import java.util.List;
 import java.util.Map;
-import maplerail.core.Cargo;
+import maplerail.core.Payload;
 
 /** A client's request as it came: what passes on to an engine unchanged. */
-public record HttpCargo(HttpString method, String target, List<Map.Entry<HttpString, String>> headers, byte[] body)
-        implements Cargo { }
+public record HttpPayload(HttpString method, String target, List<Map.Entry<HttpString, String>> headers, byte[] body)
+        implements Payload { }
--- a/src/main/java/maplerail/net/ToolClient.java
+++ b/src/main/java/maplerail/net/ToolClient.java
@@ -41,15 +41,15 @@
 
     @Override
     public Sending send(long engine, Ask ask, double untilMs, Answer answer) {
-        ToolCargo cargo = (ToolCargo) ask.cargo();
-        ClientRequest request = Requests.to(addresses.get(engine), Methods.POST, cargo.path());
+        ToolPayload payload = (ToolPayload) ask.payload();
+        ClientRequest request = Requests.to(addresses.get(engine), Methods.POST, payload.path());
         request.getRequestHeaders().put(ID, ask.id());
         double left = Math.max(1, untilMs - loop.nowMs()) / 1_000;
         request.getRequestHeaders().put(DEADLINE, String.format(Locale.ROOT, "%.3f", left));
         request.getRequestHeaders().put(Headers.CONTENT_TYPE, "application/json");
-        request.getRequestHeaders().put(Headers.CONTENT_LENGTH, cargo.message().length);
-        Incoming incoming = new Incoming(answer, cargo.mostReply());
-        incoming.call = pool.start(addresses.get(engine), request, cargo.message(), incoming);
+        request.getRequestHeaders().put(Headers.CONTENT_LENGTH, payload.message().length);
+        Incoming incoming = new Incoming(answer, payload.mostReply());
+        incoming.call = pool.start(addresses.get(engine), request, payload.message(), incoming);
         return new Sent(incoming.call);
     }
 
--- a/src/test/java/maplerail/core/BrokerTest.java
+++ b/src/test/java/maplerail/core/BrokerTest.java
@@ -119,7 +119,7 @@
                 releasedForMs = untilMs - loop.now;
             }
         };
-        broker = new Broker(router, settings, new Admit(Budgets.open(3), loop), loop, engines, line -> { });
+        broker = new Broker(router, settings, new Quotas(Budgets.open(3), loop), loop, engines, line -> { });
         list(State.READY);
         told.clear();
     }
@@ -135,7 +135,7 @@
         broker.members(new Router.Members(ListKind.CHANGES, 2, List.of()));
     }
 
-    private Ticket take(String id, Router.Action... actions) {
+    private RequestHandle take(String id, Router.Action... actions) {
         next.addAll(List.of(actions));
         return broker.take(new Ask(id, 0, 0, 0, 10, 0, 0, 5_000, 10, 0, false, 10, null), new Caller() {
             @Override
@@ -213,11 +213,11 @@
 
     @Test
     void aSlowCallerStopsTheEngineUntilItCanTakeMore() {
-        Ticket ticket = take("a", send(WRITER));
+        RequestHandle handle = take("a", send(WRITER));
         ready = false;
         out.get(0).answer.event(new byte[1]);
         assertThat(out.get(0).paused).isTrue();
-        ticket.writable();
+        handle.writable();
         assertThat(out.get(0).paused).isFalse();
     }
 
@@ -246,12 +246,12 @@
     /** An engine that falls silent ends nothing: without a watch its client would wait for good. */
     @Test
     void aStreamThatStopsIsBrokenOffButNotWhileItsCallerIsSlow() {
-        Ticket ticket = take("a", send(WRITER));
+        RequestHandle handle = take("a", send(WRITER));
         ready = false;
         out.get(0).answer.event(new byte[1]);
         loop.until(30_000);
         assertThat(caller).containsExactly("event");
-        ticket.writable();
+        handle.writable();
         loop.until(32_900);
         assertThat(caller).containsExactly("event");
         loop.until(33_100);
@@ -263,11 +263,11 @@
 
     @Test
     void aCallerThatLeavesEndsTheAttemptsAndWhatIsHeldIsLetGo() {
-        Ticket ticket = take("a", send(READER));
+        RequestHandle handle = take("a", send(READER));
         next.add(send(WRITER));
         out.get(0).answer.ended(Outcome.READ, 0);
         next.add(new Release(1));
-        ticket.gone();
+        handle.gone();
         assertThat(out.get(1).aborted).isTrue();
         assertThat(outcomes()).containsExactly(Outcome.READ, Outcome.CANCELLED);
         assertThat(released).contains("1/a");
@@ -367,12 +367,12 @@
 
     @Test
     void aTeamsRateComesBackWithTime() {
-        Admit admit = new Admit(new Budgets(9, List.of(), List.of(new Budgets.Budget(2, 9))), loop);
+        Quotas quotas = new Quotas(new Budgets(9, List.of(), List.of(new Budgets.Budget(2, 9))), loop);
         Ask ask = new Ask("a", 0, 0, 0, 0, 0, 0, 1, 0, 0, false, 0, null);
-        assertThat(admit.check(ask)).isNull();
-        assertThat(admit.check(ask)).isNull();
-        assertThat(admit.check(ask)).isEqualTo(new Admit.Denied(Caller.Why.BUDGET, 500));
+        assertThat(quotas.check(ask)).isNull();
+        assertThat(quotas.check(ask)).isNull();
+        assertThat(quotas.check(ask)).isEqualTo(new Quotas.Denied(Caller.Why.BUDGET, 500));
         loop.until(1_500);
-        assertThat(admit.check(ask)).isNull();
+        assertThat(quotas.check(ask)).isNull();
     }
 }
--- a/src/test/java/maplerail/front/DoorTest.java
+++ b/src/test/java/maplerail/front/ClientListenerTest.java
@@ -15,7 +15,7 @@
 import maplerail.support.World;
 import org.junit.jupiter.api.Test;
 
-class DoorTest {
+class ClientListenerTest {
     private static final int LIMIT_MS = 20_000; // ends a test that would never end
     private static final String READY = "GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n";
 
