Keep the connections of clients that come before the gateway is ready

At fault: PlatformFront.handleRequest, which took every phase but READY for an end.

The new check in PlatformWatchTest fails without it.

--- a/src/main/java/maplerail/core/Lifecycle.java
+++ b/src/main/java/maplerail/core/Lifecycle.java
@@ -12,6 +12,11 @@
     public enum Phase {
         STARTING, READY, DRAINING, FINISHING, STOPPED;
 
+        /** True once clients are to go elsewhere. */
+        public boolean ends() {
+            return compareTo(READY) > 0;
+        }
+
         /** True while a request that arrives is still served. */
         public boolean takes() {
             return compareTo(FINISHING) < 0;
--- a/src/main/java/maplerail/front/platform/PlatformFront.java
+++ b/src/main/java/maplerail/front/platform/PlatformFront.java
@@ -42,7 +42,7 @@
     public void handleRequest(HttpServerExchange exchange) {
         ServerConnection connection = exchange.getConnection();
         listener.entered(exchange);
-        if (lifecycle.phase() != Phase.READY) exchange.getResponseHeaders().put(Headers.CONNECTION, "close");
+        if (lifecycle.phase().ends()) exchange.getResponseHeaders().put(Headers.CONNECTION, "close");
         Answer answer = new Answer(exchange);
         if (exchange.getRequestURI().equals("/-/ready")) {
             answer.say(lifecycle.phase() == Phase.READY ? 200 : 503, "");
--- a/src/test/java/maplerail/discovery/PlatformWatchTest.java
+++ b/src/test/java/maplerail/discovery/PlatformWatchTest.java
@@ -5,6 +5,8 @@
 import static maplerail.support.World.take;
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
@@ -80,9 +82,17 @@
             world.begin();
             StandIn.Exchange asked = take(first);
             assertThat(world.gateway.phase()).isEqualTo(Phase.STARTING);
+            Socket early = world.connect();
+            String ready = "GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n";
+            early.getOutputStream().write(ready.getBytes(StandardCharsets.UTF_8));
+            assertThat(new String(early.getInputStream().readNBytes(12), StandardCharsets.UTF_8)).endsWith("503");
             asked.reply(200, "{\"seq\":9,\"whole\":false,\"hosts\":[{\"host\":\"w1\",\"dial\":\"" + writer.address()
                     + "\",\"site\":\"caerdydd\",\"class\":\"decode\",\"block\":1,\"health\":\"terminating\"}]}");
             await("ready", () -> world.gateway.phase() == Phase.READY);
+            String closing = ready.replaceFirst("\r\n", "\r\nConnection: close\r\n");
+            early.getOutputStream().write(closing.getBytes(StandardCharsets.UTF_8));
+            assertThat(World.readAll(early.getInputStream())).as("who came early stays").contains("HTTP/1.1 200");
+            early.close();
             for (int i = 0; i < 10; i++) {
                 assertThat(world.exchange(request("a" + i, "lookup", "5.0"))).startsWith("HTTP/1.1 200");
             }
