Count a beginning's homes without the present arrival, so that a rare one keeps one home

The number of homes of a beginning is its share of a node's arrivals of the last 20 s times twice the readers. That count held the arrival that was being placed: at a node that has seen few others a beginning seen for the first time got two homes of 19 readers, at one that had just started five, drawn by the session, and each of them read it anew.

Ruled out: evictions (a reader's memory holds some hundred beginnings), credit that is spent (a node sends a reader a few prompts in the time) and sessions (their homes are one each). At fault: Logic.longestMatch.

LogicTest fails without it, at prompts of 600 and of 9,000 tokens.

--- a/src/main/java/maplerail/Logic.java
+++ b/src/main/java/maplerail/Logic.java
@@ -432,7 +432,9 @@
         boolean history = most && request.asked.session() != 0;
         long key = history ? request.asked.session() : request.asked.prefix();
         double seen = heatOf(key);
-        double count = history ? 1 : Math.ceil(HOME_SPREAD * able.size() * seen / (heatOf(0) + HOME_PRIOR));
+        // Without the present arrival, which would make every beginning hot at a node that sees little.
+        double before = Math.max(0, seen - 1);
+        double count = history ? 1 : Math.ceil(HOME_SPREAD * able.size() * before / (heatOf(0) + HOME_PRIOR));
         List<Engine> homes = key == 0 ? List.of() : able.stream()
                 .sorted(Comparator.comparingLong(e -> mix(key ^ mix(e.id)))).limit((long) Math.max(1, count))
                 .toList();
--- a/src/test/java/maplerail/LogicTest.java
+++ b/src/test/java/maplerail/LogicTest.java
@@ -11,10 +11,12 @@
 import static maplerail.Node.writer;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.stream.Collectors;
+import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -79,6 +81,22 @@
         assertEquals(Set.of(1L, 2L, 3L), homes);
     }
 
+    /** A first arrival at a node that sees little is no sign of a hot beginning: every further home reads it anew. */
+    @ParameterizedTest
+    @ValueSource(doubles = {600, 9_000})
+    void aRareBeginningHasOneHomeAmongNodesThatSeeLittle(double tokens) {
+        Set<Long> homes = new HashSet<>();
+        for (int seed = 1; seed <= 40; seed++) {
+            Node node = new Node();
+            node.seed = seed;
+            node.routers = 100;
+            node.start(LongStream.rangeClosed(1, 17).mapToObj(i -> i < 17 ? reader(i) : writer(i)).toArray(Member[]::new));
+            node.arrive(1, 1_000 + seed, 77, tokens, 5_000);
+            homes.add(node.sent().engine());
+        }
+        assertEquals(1, homes.size(), "readers that read the beginning: " + homes);
+    }
+
     /** The matched reader's queue, seen by the oldest read there, refused requests that other readers would take. */
     @Test
     void aReaderThatKeepsAReadWaitingGivesWayToOthers() {
