Read a state that is gone anew at another reader than the one that was cut off

A writer out of its reach found no state and said so; the prompt was then sent to the same reader again, by its longest match, and waited there until its time was up. By then the state of the first read could not be let go any more.

Ruled out: the release (sent in the turn of the refusal, to a reader out of reach), and the re-read itself: elsewhere it is answered, and the end of the request lets go of the rest. At fault: Logic.onFailure, which kept only the writer from being asked again.

LogicTest fails without it.

--- a/src/main/java/maplerail/Logic.java
+++ b/src/main/java/maplerail/Logic.java
@@ -844,12 +844,14 @@
     private void onFailure(Request request, Attempt attempt, Outcome outcome) {
         if (outcome.neverRan && request.mayHaveRun == attempt) request.mayHaveRun = null;
         if (request.phase == Phase.STREAMING || request.out > 0) return;
+        // The reader that held it has died or is cut off from the writer, perhaps from here too.
+        Engine not = outcome == Outcome.STATE_GONE ? request.holder : attempt.engine;
         if (outcome == Outcome.STATE_GONE) request.holder = null;
         boolean spent = request.attempts.size() >= settings.limits().maxAttempts();
         // What may have been done can be neither repeated nor taken elsewhere: no use in holding its state.
         spent |= request.mayHaveRun != null && request.kind.repeat() == Repeat.UNSAFE;
         if (spent || lastMoment(request) <= now) giveUp(request);
-        else if (request.holder == null) read(request, attempt.engine);
+        else if (request.holder == null) read(request, not);
         else if (outcome != Outcome.UNREACHABLE || now < pinnedMs(request)) write(request, attempt.engine);
         else readAnew(request);
     }
--- a/src/test/java/maplerail/LogicTest.java
+++ b/src/test/java/maplerail/LogicTest.java
@@ -872,6 +872,18 @@
         assertEquals(0, node.answers(1));
     }
 
+    /** A writer finds no state also where the reader is cut off; asked again, that one keeps the request for good. */
+    @Test
+    void aStateThatIsGoneIsReadAnewAtAnotherReader() {
+        Node node = small();
+        node.arrive(1, 7, 0, 1_000, 5_000);
+        long first = node.sent().engine();
+        node.end(1, 0, Outcome.READ);
+        node.end(1, 1, Outcome.STATE_GONE);
+        assertTrue(node.sent().engine() < 10, "a reader");
+        assertNotEquals(first, node.sent().engine());
+    }
+
     @Test
     void aStateThatIsGoneIsReadAnew() {
         Node node = small();
