Eject an engine as slow on enough samples only, not on one read that waited

At fault: Logic.observePace.

As for peers, three samples are asked for. LogicTest fails without it.

--- a/src/main/java/maplerail/Logic.java
+++ b/src/main/java/maplerail/Logic.java
@@ -613,7 +613,8 @@
         engine.typicalMs.add(spentMs);
         // So slow that aims are at stake: a queue alone does not eject.
         double floor = HURTING * settings.classes().stream().mapToDouble(RequestClass::aimMs).min().orElse(0);
-        if (relativePace(engine) > SLOW_OUTLIER && engine.typicalMs.mean > floor) eject(engine, "slow");
+        boolean slow = engine.pace.weight() >= ENOUGH && relativePace(engine) > SLOW_OUTLIER;
+        if (slow && engine.typicalMs.mean > floor) eject(engine, "slow");
     }
 
     /** How slowly an engine streams against its peers, running streams counted; 1 if unknown. */
--- a/src/test/java/maplerail/LogicTest.java
+++ b/src/test/java/maplerail/LogicTest.java
@@ -712,6 +712,22 @@
         assertTrue(atBad >= 2 && atBad <= 8, "sends to the failing reader: " + atBad);
     }
 
+    /** Behind other nodes' reads a single one takes long; nodes that see little have no more to judge by. */
+    @Test
+    void oneReadThatWaitedEjectsNobody() {
+        Node node = small();
+        long waiting = 0;
+        for (long id = 1; id <= 12; id++) {
+            node.arrive(id);
+            if (waiting == 0 && node.sent().engine() == 1) waiting = id;
+            else node.serve(id);
+        }
+        assertTrue(waiting > 0, "a read is out at reader 1");
+        node.now += 900;
+        node.end(waiting, 0, Outcome.READ, 900, 0, false);
+        assertEquals(List.of(), node.of(Router.Log.class));
+    }
+
     @Test
     void aSlowdownOfAllEjectsNobody() {
         Node node = small();
