Leave a called-off write open until the reader of its state answers a release

Where writer and reader fell silent together, the write was ended then and the release could not reach the reader (UNREACHABLE to others in the same second), though until that moment the state counted as being taken. When the cut is over such a connection is reset by itself, and the reader is in reach again.

At fault: Send.cancel and Send.cutAll, which end the attempt before its state can be let go; Book.release, which let go while an attempt was out.

The client hears at once as before. The attempt ends when the reader answers the release, which takes a round trip where it is in reach, or after 8 s; then what is held is let go.

BrokerTest fails without it.

--- a/src/main/java/maplerail/core/Book.java
+++ b/src/main/java/maplerail/core/Book.java
@@ -61,7 +61,7 @@
 
     /** Lets go of what may be held; what an attempt still waits for stays. */
     void release(Entry entry) {
-        if (entry.anyOut() && !entry.answered) return;
+        if (entry.anyOut()) return;
         for (long engine : List.copyOf(entry.mayHold)) {
             if (!entry.outAt(engine)) letGo(entry, engine);
         }
@@ -70,14 +70,15 @@
     private void letGo(Entry entry, long engine) {
         entry.mayHold.remove(engine);
         entry.holds.remove(engine);
-        engines.release(engine, entry.ask.id(), loop.nowMs() + TRIED_LIMITS * pinLimitMs);
+        engines.release(engine, entry.ask.id(), loop.nowMs() + TRIED_LIMITS * pinLimitMs, () -> { });
         // Guards against a release that overtakes the end of a connection, and against a reader that goes on reading
         // though nobody waits: the state that it leaves then is held like any other.
         if (loop.nowMs() - entry.lastCutMs >= JUST_CUT_MS) return;
         for (double afterMs : AGAIN_MS) {
             loop.at(loop.nowMs() + afterMs, () -> {
                 boolean inUse = entry.outAt(engine) || entry.holds.contains(engine) || entry.winner != null;
-                if (entry.answered || !inUse) engines.release(engine, entry.ask.id(), loop.nowMs() + pinLimitMs);
+                if (!entry.answered && inUse) return;
+                engines.release(engine, entry.ask.id(), loop.nowMs() + pinLimitMs, () -> { });
             });
         }
     }
--- a/src/main/java/maplerail/core/Engines.java
+++ b/src/main/java/maplerail/core/Engines.java
@@ -7,8 +7,8 @@
     /** Makes one attempt. The answer hears exactly one {@code ended}, never before this call returns. */
     Sending send(long engine, Ask ask, double untilMs, Answer answer);
 
-    /** Lets go of what an engine holds for a request, trying again up to a time. */
-    void release(long engine, String id, double untilMs);
+    /** Lets go of what an engine holds for a request, trying again up to a time; tells once if the engine answers. */
+    void release(long engine, String id, double untilMs, Runnable answered);
 
     /** An attempt on its way. */
     interface Sending {
--- a/src/main/java/maplerail/core/Entry.java
+++ b/src/main/java/maplerail/core/Entry.java
@@ -50,6 +50,8 @@
         /** When the last event came, and whether its caller asked for a pause. */
         double heardMs;
         boolean paused;
+        /** Called off, and left open until what is held for the request can be let go. */
+        boolean lingers;
         boolean ended;
         /** How and when it ended. */
         Router.Outcome outcome;
--- a/src/main/java/maplerail/core/Send.java
+++ b/src/main/java/maplerail/core/Send.java
@@ -9,6 +9,8 @@
 /** Fourth stage: makes the attempts that the module asks for, ends them, and tells how each one ended. */
 final class Send {
     private static final double STALL_MS = 3_000; // without an event, after which a stream has stopped
+    /** That an attempt is left open after its request's answer while the reader of its state is out of reach. */
+    private static final double LINGER_MS = 8_000;
     private static final Router.Load UNTOLD = new Router.Load(Double.NaN);
 
     private final Engines engines;
@@ -111,12 +113,33 @@
         Entry entry = book.find(order.id());
         if (entry == null || order.attempt() >= entry.tries.size()) return;
         Entry.Try attempt = entry.tries.get(order.attempt());
-        if (entry.winner != attempt) cut(attempt, Outcome.CANCELLED);
+        if (entry.winner != attempt) callOff(attempt);
     }
 
     /** The caller has left: nobody reads a stream either. */
     void cutAll(Entry entry) {
-        for (Entry.Try attempt : List.copyOf(entry.tries)) cut(attempt, Outcome.CANCELLED);
+        for (Entry.Try attempt : List.copyOf(entry.tries)) callOff(attempt);
+    }
+
+    /**
+     * Ends an attempt; one that may still take a state only once the state's reader answers. Guards against a writer
+     * and a reader that fell silent together: with the attempt ended, nobody could let go of the state in time.
+     */
+    private void callOff(Entry.Try attempt) {
+        Entry entry = attempt.entry;
+        if (attempt.ended || attempt.lingers) return;
+        attempt.lingers = entry.answered && entry.winner != attempt && !attempt.reader && !entry.holds.isEmpty()
+                && !attempt.sending.unsent();
+        if (!attempt.lingers) {
+            cut(attempt, Outcome.CANCELLED);
+            return;
+        }
+        attempt.timeout.cancel();
+        double untilMs = loop.nowMs() + LINGER_MS;
+        attempt.timeout = loop.at(untilMs, () -> cut(attempt, Outcome.CANCELLED));
+        for (long engine : List.copyOf(entry.holds)) {
+            engines.release(engine, entry.ask.id(), untilMs, () -> cut(attempt, Outcome.CANCELLED));
+        }
     }
 
     /** What has not left this machine must not follow the news that its engine wants nothing more. */
--- a/src/main/java/maplerail/net/EngineClient.java
+++ b/src/main/java/maplerail/net/EngineClient.java
@@ -112,9 +112,9 @@
     }
 
     @Override
-    public void release(long engine, String id, double untilMs) {
+    public void release(long engine, String id, double untilMs, Runnable answered) {
         InetSocketAddress to = addresses.get(engine);
-        if (to != null) new Release(to, "/internal/reservations/" + id, untilMs).attempt();
+        if (to != null) new Release(to, "/internal/reservations/" + id, untilMs, answered).attempt();
     }
 
     /** A release goes on until it is answered or too late: the time runs while connections fail to come up. */
@@ -122,13 +122,15 @@
         private final InetSocketAddress to;
         private final String target;
         private final double untilMs;
+        private final Runnable answered;
         private Call call;
         private Loop.Alarm silence;
 
-        Release(InetSocketAddress to, String target, double untilMs) {
+        Release(InetSocketAddress to, String target, double untilMs, Runnable answered) {
             this.to = to;
             this.target = target;
             this.untilMs = untilMs;
+            this.answered = answered;
         }
 
         void attempt() {
@@ -160,7 +162,9 @@
         public void body(ByteBuffer piece) { }
 
         @Override
-        public void end() { }
+        public void end() {
+            answered.run();
+        }
 
         @Override
         public void failed(boolean neverSent) {
--- a/src/main/java/maplerail/net/ToolClient.java
+++ b/src/main/java/maplerail/net/ToolClient.java
@@ -100,5 +100,7 @@
 
     /** Tool servers hold nothing for a request that has ended. */
     @Override
-    public void release(long engine, String id, double untilMs) { }
+    public void release(long engine, String id, double untilMs, Runnable answered) {
+        answered.run();
+    }
 }
--- a/src/test/java/maplerail/core/BrokerTest.java
+++ b/src/test/java/maplerail/core/BrokerTest.java
@@ -27,6 +27,8 @@
     private final List<Router.Action> next = new ArrayList<>();
     private final List<Out> out = new ArrayList<>();
     private final List<String> released = new ArrayList<>();
+    private final List<Runnable> unheard = new ArrayList<>();
+    private boolean inReach = true;
     private double releasedForMs;
     private final List<String> caller = new ArrayList<>();
     private boolean ready = true;
@@ -114,8 +116,10 @@
             }
 
             @Override
-            public void release(long engine, String id, double untilMs) {
+            public void release(long engine, String id, double untilMs, Runnable answered) {
                 released.add(engine + "/" + id);
+                if (inReach) answered.run();
+                else unheard.add(answered);
                 releasedForMs = untilMs - loop.now;
             }
         };
@@ -278,6 +282,38 @@
         assertThat(broker.remembered()).isZero();
     }
 
+    /** With the attempt ended nobody could let go of the state in time: to its reader it is being taken until then. */
+    @Test
+    void anAttemptIsLeftOpenWhileTheReaderOfItsStateIsOutOfReach() {
+        take("a", send(READER));
+        next.add(send(WRITER));
+        out.get(0).answer.ended(Outcome.READ, 0);
+        inReach = false;
+        act(new Router.Fail(1), new Cancel(1, 1), new Release(1));
+        assertThat(caller).as("the client hears at once").containsExactly("fail ENGINE");
+        loop.until(8_900);
+        assertThat(out.get(1).aborted).isFalse();
+        inReach = true;
+        next.add(new Release(1));
+        unheard.get(0).run();
+        assertThat(out.get(1).aborted).isTrue();
+        assertThat(outcomes()).containsExactly(Outcome.READ, Outcome.CANCELLED);
+        assertThat(released).as("asked, and let go once nothing is out").startsWith("1/a", "1/a");
+        assertThat(broker.remembered()).isZero();
+    }
+
+    @Test
+    void anAttemptIsNotLeftOpenForGood() {
+        take("a", send(READER));
+        next.add(send(WRITER));
+        out.get(0).answer.ended(Outcome.READ, 0);
+        inReach = false;
+        act(new Router.Fail(1), new Cancel(1, 1));
+        loop.until(9_100);
+        assertThat(out.get(1).aborted).isTrue();
+        assertThat(broker.remembered()).isZero();
+    }
+
     /** After a start a crowd may come faster than half a core can take it in. */
     @Test
     void aLoopThatIsBehindTakesNothingNewUntilItHasCaughtUp() {
