Count a write that was called off unsent as one that never came, for its state's time

Called off unsent, it left the state's time running, as it should, but another writer was tried however much of that time was gone.

Ruled out: the clock (Logic.onEnded left it alone for both outcomes already). At fault: Logic.onFailure, which asked for the one outcome only.

LogicTest fails without it for NOT_SENT.

--- a/src/main/java/maplerail/Logic.java
+++ b/src/main/java/maplerail/Logic.java
@@ -312,8 +312,7 @@
         attempt.ended = true;
         request.out--;
         // What never reached its engine took nothing: the time of what is held runs on.
-        boolean never = ended.outcome() == Outcome.UNREACHABLE || ended.outcome() == Outcome.NOT_SENT;
-        if (!never) request.heldMs = now;
+        if (!neverCame(ended.outcome())) request.heldMs = now;
         request.held |= ended.outcome() == Outcome.READ;
         account(attempt, ended);
         judge(attempt, ended);
@@ -853,10 +852,14 @@
         spent |= request.mayHaveRun != null && request.kind.repeat() == Repeat.UNSAFE;
         if (spent || lastMoment(request) <= now) giveUp(request);
         else if (request.holder == null) read(request, not);
-        else if (outcome != Outcome.UNREACHABLE || now < pinnedMs(request)) write(request, attempt.engine);
+        else if (!neverCame(outcome) || now < pinnedMs(request)) write(request, attempt.engine);
         else readAnew(request);
     }
 
+    private static boolean neverCame(Outcome outcome) {
+        return outcome == Outcome.UNREACHABLE || outcome == Outcome.NOT_SENT;
+    }
+
     /** Writers out of reach used up the state's time: let it go; its reader keeps the prompt's tokens. */
     private void readAnew(Request request) {
         actions.add(new Release(request.asked.id()));
--- a/src/test/java/maplerail/LogicTest.java
+++ b/src/test/java/maplerail/LogicTest.java
@@ -19,6 +19,7 @@
 import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import maplerail.Router.Arrival;
 import maplerail.Router.Cancel;
@@ -869,8 +870,9 @@
     }
 
     /** To the reader an attempt that never came is none: its state waits on from the end of the read. */
-    @Test
-    void aStateThatNoWriterInReachTakesIsLetGoInTimeAndReadAnew() {
+    @ParameterizedTest
+    @EnumSource(value = Outcome.class, names = {"UNREACHABLE", "NOT_SENT"})
+    void aStateThatNoWriterInReachTakesIsLetGoInTimeAndReadAnew(Outcome never) {
         Node node = new Node();
         node.copies = false;
         node.start(reader(1), reader(2), writer(11), writer(12), writer(13), writer(14));
@@ -881,7 +883,7 @@
         for (int attempt = 1; node.of(Release.class).isEmpty(); attempt++) {
             assertTrue(node.sent().engine() > 10, "a writer is tried");
             node.until(node.now + 250);
-            node.end(1, attempt, Outcome.UNREACHABLE);
+            node.end(1, attempt, never);
             assertTrue(node.now <= held + 300 + 250, "the limit, and the attempt that was on its way by then");
         }
         assertEquals(reader, node.sent().engine(), "read where the prompt's tokens are kept");
