--- a/src/test/java/maplerail/LogicTest.java
+++ b/src/test/java/maplerail/LogicTest.java
@@ -1003,6 +1003,33 @@
         assertNotNull(node.sent(), "the old list stands");
     }
 
+    /** Wherever a request stands when its client leaves, nothing is sent for it any more. */
+    @ParameterizedTest
+    @ValueSource(strings = {"waits for a reader", "reads", "waits for a writer", "writes", "waits to retry"})
+    void nothingIsSentForAClientThatHasGone(String stage) {
+        Node node = new Node();
+        node.copies = false;
+        node.start(stage.equals("waits for a reader") ? new Member[0] : new Member[] {reader(1)});
+        if (stage.equals("writes")) node.list(ListKind.CHANGES, writer(11));
+        node.arrive(1);
+        if (stage.equals("waits to retry")) {
+            node.list(ListKind.CHANGES, new Member(1, State.DRAINING, 0, 0, 0, 1, 0));
+            node.end(1, 0, Outcome.ERROR);
+        }
+        if (stage.equals("waits for a writer") || stage.equals("writes")) node.end(1, 0, Outcome.READ);
+        int sends = node.sends().size();
+        assertEquals(stage.equals("writes") ? 2 : stage.equals("waits for a reader") ? 0 : 1, sends);
+        node.on(new Router.Abandoned(1));
+        boolean held = stage.equals("waits for a writer") || stage.equals("writes");
+        assertEquals(held, !node.of(Release.class).isEmpty(), "what is held is let go at once");
+        node.list(ListKind.WHOLE, reader(1), reader(2), writer(11), writer(12));
+        if (stage.equals("reads")) node.end(1, 0, Outcome.CANCELLED);
+        if (stage.equals("writes")) node.end(1, 1, Outcome.CANCELLED);
+        node.until(node.now + 10_000);
+        assertEquals(sends, node.sends().size());
+        assertEquals(0, node.answers(1));
+    }
+
     @Test
     void thousandsOfRequestsLeaveNothingBehind() {
         Node node = small();
