--- a/src/test/java/maplerail/net/PoolTest.java
+++ b/src/test/java/maplerail/net/PoolTest.java
@@ -42,9 +42,13 @@
         return pool(connIdleMs, 250);
     }
 
-    /** Room for as many connections as a fast machine opens before the first of them may be used again. */
     private Pool pool(double connIdleMs, double connectMs) {
-        return pool(connIdleMs, connectMs, 2_000);
+        return pool(connIdleMs, connectMs, 50);
+    }
+
+    /** One with room for as many connections as a fast machine opens before the first of them may be used again. */
+    private Pool roomy() {
+        return pool(30_000, 250, 2_000);
     }
 
     private Pool pool(double connIdleMs, double connectMs, int most) {
@@ -83,7 +87,7 @@
     @Test
     void aConnectionIsUsedAgainAndRetiredLongBeforeTheFarSideWould() throws Exception {
         try (StandIn server = new StandIn(x -> x.reply(200, ""))) {
-            Pool kept = pool(30_000);
+            Pool kept = roomy();
             // A connection is not used again before it has been quiet for a while.
             for (int opened = -1; opened != server.connections();) {
                 opened = server.connections();
@@ -101,7 +105,7 @@
             if (x.number == 0) x.reply(200, "");
             else x.reset();
         })) {
-            Pool pool = pool(30_000);
+            Pool pool = roomy();
             int posts = 1;
             while (post(pool, server.socketAddress()).equals("end")) posts++;
             assertThat(posts).isGreaterThan(1);
@@ -151,7 +155,7 @@
     void thePoolHoldsNoMoreThanItsPart() throws Exception {
         BlockingQueue<StandIn.Exchange> waiting = World.queue();
         try (StandIn server = new StandIn(waiting::add); StandIn other = new StandIn(x -> x.reply(200, ""))) {
-            Pool pool = pool(30_000, 250, 50);
+            Pool pool = pool(30_000);
             assertThat(post(pool, other.socketAddress())).isEqualTo("end");
             for (int i = 0; i < 50; i++) {
                 loop.execute(() -> pool.start(server.socketAddress(), request(server.socketAddress()), new byte[2],
