Tell engines the time that is left when a request is written, not when it is queued

Seen in review: EngineClient.send formatted Req-Deadline when the attempt was handed to the pool. The head is now made in Call.on, when there is a connection to write it to. EngineClientTest fails without it: the told time includes the wait.

--- a/src/main/java/maplerail/net/Call.java
+++ b/src/main/java/maplerail/net/Call.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.function.Supplier;
 import maplerail.core.Loop;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -16,9 +17,12 @@
     private static final double WITHIN_MS = 2_000; // in which a head or chunk that has begun must end
 
     private final Pool pool;
-    private final ByteBuffer bytes;
+    private final Supplier<ClientRequest> request;
+    private final byte[] body;
     private final Reply reply;
     private final AnswerReader reader;
+    /** Head and body; null until there is a connection to write them to. */
+    private ByteBuffer bytes;
     private Link link;
     private Runnable disconnect;
     private Loop.Alarm limit;
@@ -29,9 +33,11 @@
     private boolean done;
     private int unitsSeen;
 
-    Call(Pool pool, ClientRequest request, byte[] body, Reply reply) {
+    /** Makes a call whose head is asked for when it is about to be written: what it tells of time must hold then. */
+    Call(Pool pool, Supplier<ClientRequest> request, byte[] body, Reply reply) {
         this.pool = pool;
-        this.bytes = bytes(request, body);
+        this.request = request;
+        this.body = body;
         this.reply = reply;
         this.reader = new AnswerReader(reply);
     }
@@ -90,6 +96,7 @@
         calm();
         disconnect = null;
         link = to;
+        bytes = bytes(request.get(), body);
         link.connection.getSourceChannel().setReadListener(c -> read());
         link.connection.getSinkChannel().setWriteListener(c -> write());
         link.connection.getSourceChannel().resumeReads();
@@ -156,7 +163,7 @@
     /** The answer is whole; a connection on which more came, or not all was written, is of no further use. */
     private void end(boolean clean) {
         Link used = link;
-        boolean again = clean && reader.keepAlive() && !bytes.hasRemaining();
+        boolean again = clean && reader.keepAlive() && written();
         if (again) link = null;
         finish();
         if (again) pool.keep(used);
@@ -175,10 +182,15 @@
         pool.loop().execute(() -> {
             if (done) return;
             finish();
-            reply.failed(bytes.hasRemaining());
+            reply.failed(!written());
         });
     }
 
+    /** True once the last byte has been written. */
+    private boolean written() {
+        return bytes != null && !bytes.hasRemaining();
+    }
+
     private void finish() {
         done = true;
         calm();
--- a/src/main/java/maplerail/net/EngineClient.java
+++ b/src/main/java/maplerail/net/EngineClient.java
@@ -45,15 +45,20 @@
     public Sending send(long engine, Ask ask, double untilMs, Answer answer) {
         HttpPayload payload = (HttpPayload) ask.payload();
         InetSocketAddress to = addresses.get(engine);
+        Call call = pool.start(to, () -> request(to, payload, untilMs), payload.body(), new Incoming(answer));
+        return new Sent(call);
+    }
+
+    /** A client's request as it goes out now: the deadline that it tells is the time that is left. */
+    private ClientRequest request(InetSocketAddress to, HttpPayload payload, double untilMs) {
         ClientRequest request = Requests.to(to, payload.method(), payload.target());
         for (Map.Entry<HttpString, String> header : payload.headers()) {
             request.getRequestHeaders().add(header.getKey(), header.getValue());
         }
-        double left = Math.max(1, untilMs - loop.nowMs()) / 1_000;
-        request.getRequestHeaders().put(DEADLINE, String.format(Locale.ROOT, "%.3f", left));
+        double leftSeconds = Math.max(1, untilMs - loop.nowMs()) / 1_000;
+        request.getRequestHeaders().put(DEADLINE, String.format(Locale.ROOT, "%.3f", leftSeconds));
         request.getRequestHeaders().put(Headers.CONTENT_LENGTH, payload.body().length);
-        Call call = pool.start(to, request, payload.body(), new Incoming(answer));
-        return new Sent(call);
+        return request;
     }
 
     /** An engine's answer, told as an outcome. */
--- a/src/main/java/maplerail/net/Pool.java
+++ b/src/main/java/maplerail/net/Pool.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Supplier;
 import org.xnio.IoFuture;
 import org.xnio.OptionMap;
 import org.xnio.Options;
@@ -49,11 +50,19 @@
 
     /** Starts a request; the reply hears of it after this call has returned. */
     public Call start(InetSocketAddress to, ClientRequest request, byte[] body, Reply reply) {
-        Call call = new Call(this, request, body, reply);
+        // Guards against a release that waits behind a crowd of reads until what it lets go counts as pinned.
+        return start(to, new Call(this, () -> request, body, reply), request.getMethod().equals(Methods.DELETE));
+    }
+
+    /** Starts a request whose head is made only once there is a connection for it. */
+    public Call start(InetSocketAddress to, Supplier<ClientRequest> request, byte[] body, Reply reply) {
+        return start(to, new Call(this, request, body, reply), false);
+    }
+
+    private Call start(InetSocketAddress to, Call call, boolean urgent) {
         if (!begin(to, call)) {
             ArrayDeque<Call> waiting = queued.computeIfAbsent(to, t -> new ArrayDeque<>());
-            // Guards against a release that waits behind a crowd of reads until what it lets go counts as pinned.
-            if (request.getMethod().equals(Methods.DELETE)) waiting.addFirst(call);
+            if (urgent) waiting.addFirst(call);
             else waiting.addLast(call);
             call.connecting(loop.at(loop.nowMs() + connectMs, () -> later(call)), () -> { });
         }
--- a/src/main/java/maplerail/net/ToolClient.java
+++ b/src/main/java/maplerail/net/ToolClient.java
@@ -42,17 +42,22 @@
     @Override
     public Sending send(long engine, Ask ask, double untilMs, Answer answer) {
         ToolPayload payload = (ToolPayload) ask.payload();
-        ClientRequest request = Requests.to(addresses.get(engine), Methods.POST, payload.path());
-        request.getRequestHeaders().put(ID, ask.id());
-        double left = Math.max(1, untilMs - loop.nowMs()) / 1_000;
-        request.getRequestHeaders().put(DEADLINE, String.format(Locale.ROOT, "%.3f", left));
-        request.getRequestHeaders().put(Headers.CONTENT_TYPE, "application/json");
-        request.getRequestHeaders().put(Headers.CONTENT_LENGTH, payload.message().length);
+        InetSocketAddress to = addresses.get(engine);
         Incoming incoming = new Incoming(answer, payload.mostReply());
-        incoming.call = pool.start(addresses.get(engine), request, payload.message(), incoming);
+        incoming.call = pool.start(to, () -> request(to, ask.id(), payload, untilMs), payload.message(), incoming);
         return new Sent(incoming.call);
     }
 
+    private ClientRequest request(InetSocketAddress to, String id, ToolPayload payload, double untilMs) {
+        ClientRequest request = Requests.to(to, Methods.POST, payload.path());
+        request.getRequestHeaders().put(ID, id);
+        double leftSeconds = Math.max(1, untilMs - loop.nowMs()) / 1_000;
+        request.getRequestHeaders().put(DEADLINE, String.format(Locale.ROOT, "%.3f", leftSeconds));
+        request.getRequestHeaders().put(Headers.CONTENT_TYPE, "application/json");
+        request.getRequestHeaders().put(Headers.CONTENT_LENGTH, payload.message().length);
+        return request;
+    }
+
     private static final class Incoming implements Reply {
         private final Answer answer;
         private final int most;
--- /dev/null
+++ b/src/test/java/maplerail/net/EngineClientTest.java
@@ -0,0 +1,88 @@
+package maplerail.net;
+
+import static maplerail.support.World.await;
+import static maplerail.support.World.take;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.undertow.server.DefaultByteBufferPool;
+import io.undertow.util.Methods;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import maplerail.Router.Outcome;
+import maplerail.core.Ask;
+import maplerail.core.Engines;
+import maplerail.support.StandIn;
+import maplerail.support.World;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+/** Attempts and releases over real sockets. */
+class EngineClientTest {
+    private static final long ENGINE = 7;
+    private static final double CONNECT_TIMEOUT_MS = 20_000;
+
+    private final XnioWorker worker;
+    private final XnioLoop loop;
+    private final BlockingQueue<String> heard = World.queue();
+
+    EngineClientTest() throws Exception {
+        worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
+        loop = new XnioLoop(worker.getIoThread());
+    }
+
+    @AfterEach
+    void stop() {
+        worker.shutdownNow();
+    }
+
+    private EngineClient client(StandIn engine, int connections) {
+        Pool pool = new Pool(loop, new DefaultByteBufferPool(true, 8_192), 30_000, CONNECT_TIMEOUT_MS, connections);
+        EngineClient client = new EngineClient(pool);
+        client.addresses(Map.of(ENGINE, engine.socketAddress()));
+        return client;
+    }
+
+    private static Ask ask(String id) {
+        HttpPayload payload = new HttpPayload(Methods.POST, "/" + id, List.of(), new byte[0]);
+        return new Ask(id, 0, 0, 0, 10, 0, 0, 10_000, 10, 0, false, 0, payload);
+    }
+
+    private final class Heard implements Engines.Answer {
+        @Override
+        public void event(byte[] event) { }
+
+        @Override
+        public void unfit() {
+            heard.add("unfit");
+        }
+
+        @Override
+        public void ended(Outcome outcome, double kept) {
+            heard.add(outcome.name());
+        }
+    }
+
+    /** An attempt may wait for a connection; what it tells its engine is what the client has left by then. */
+    @Test
+    void theDeadlineThatIsToldIsTheTimeLeftWhenTheRequestIsWritten() throws Exception {
+        BlockingQueue<StandIn.Exchange> asked = World.queue();
+        try (StandIn engine = new StandIn(asked::add)) {
+            EngineClient client = client(engine, 1);
+            double startMs = loop.nowMs();
+            double untilMs = startMs + 60_000;
+            loop.execute(() -> client.send(ENGINE, ask("first"), untilMs, new Heard()));
+            StandIn.Exchange first = take(asked);
+            loop.execute(() -> client.send(ENGINE, ask("second"), untilMs, new Heard()));
+            await("time has passed", () -> loop.nowMs() >= startMs + 400);
+            double writtenAfterMs = loop.nowMs();
+            first.reply(202, "");
+            double toldSeconds = Double.parseDouble(take(asked).headers.get("req-deadline"));
+            assertThat(toldSeconds).isLessThanOrEqualTo((untilMs - writtenAfterMs) / 1_000 + 0.001);
+        }
+    }
+}
