Keep a keyed request's repeats inside its window when they wait for a connection

Seen in review: Logic checked the repeat window when it decided; the attempt could then wait for its connection and be written after the window. A refusal (with advice to come back) was given after the window too, where a repeat is not harmless. Send carries the latest time of its start, the core withdraws what has not gone out by then, and giveUp answers with a failure once the window is over. LogicTest.aKeyed* and BrokerTest.anAttemptThatHasNotGoneOutByItsTimeIsWithdrawn fail without it.

--- a/src/main/java/maplerail/Logic.java
+++ b/src/main/java/maplerail/Logic.java
@@ -727,9 +727,10 @@
         engine.out.add(attempt);
         engine.queued += uncached;
         if (!read) engine.projected += request.asked.promptTokens() + request.standIn;
-        // An attempt at a pure reader has no effect, however it ends.
+        // A repeat may wait for a connection, and is then withdrawn at the end of its window.
+        double startByMs = engine.role == Role.READ ? Double.POSITIVE_INFINITY : repeatUntilMs(request);
         if (engine.role != Role.READ && request.mayHaveRun == null) request.mayHaveRun = attempt;
-        actions.add(new Send(request.asked.id(), engine.id, request.deadlineMs));
+        actions.add(new Send(request.asked.id(), engine.id, request.deadlineMs, startByMs));
         setTimer(request.asked.id(), attempt.number, Alarm.OVERDUE, now + patience(attempt));
         return true;
     }
@@ -738,8 +739,7 @@
     private boolean repeatAllowed(Request request, Engine engine) {
         Attempt first = request.mayHaveRun;
         if (first == null || request.kind.repeat() == Repeat.PURE || engine.role == Role.READ) return true;
-        boolean late = now >= first.sentMs + request.kind.keyTtlMs();
-        if (request.kind.repeat() == Repeat.UNSAFE || late) return false;
+        if (now >= repeatUntilMs(request)) return false;
         return switch (request.kind.scope()) {
             case ALL -> true;
             case ZONE -> engine.member.zone() == first.engine.member.zone();
@@ -747,6 +747,14 @@
         };
     }
 
+    /** Until when an attempt at a writer may begin, by what may have run already. */
+    private double repeatUntilMs(Request request) {
+        Attempt first = request.mayHaveRun;
+        if (first == null || request.kind.repeat() == Repeat.PURE) return Double.POSITIVE_INFINITY;
+        if (request.kind.repeat() == Repeat.UNSAFE) return Double.NEGATIVE_INFINITY;
+        return first.sentMs + request.kind.keyTtlMs() - margin();
+    }
+
     private boolean cold(Engine engine) {
         double startedMs = engine.member.startedMs();
         return startedMs > 0 && now < startedMs + settings.rules().warmAfterMs();
@@ -849,7 +857,7 @@
         if (outcome == Outcome.STATE_GONE) request.holder = null;
         boolean spent = request.attempts.size() >= settings.limits().maxAttempts();
         // What may have been done can be neither repeated nor taken elsewhere: no use in holding its state.
-        spent |= request.mayHaveRun != null && request.kind.repeat() == Repeat.UNSAFE;
+        spent |= now >= repeatUntilMs(request);
         if (spent || lastMoment(request) <= now) giveUp(request);
         else if (request.holder == null) read(request, not);
         else if (!neverCame(outcome) || now < pinnedMs(request)) write(request, attempt.engine);
@@ -877,7 +885,7 @@
 
     private void look(Request request) {
         if (request.out > 0) return;
-        if (now > request.aimMs) giveUp(request);
+        if (now > request.aimMs || now >= repeatUntilMs(request)) giveUp(request);
         if (request.phase == Phase.HOLDING) write(request, null);
         if (request.phase == Phase.READING) read(request, null);
     }
@@ -982,9 +990,12 @@
         if (request.phase == Phase.DONE || request.phase == Phase.STREAMING) return;
         // Unsafe work with a read still out has no proof yet either.
         boolean unsure = request.kind.repeat() == Repeat.UNSAFE && request.out > 0;
-        boolean harmless = request.mayHaveRun == null && !unsure || request.kind.repeat() == Repeat.PURE
-                || request.kind.repeat() == Repeat.KEYED && request.kind.scope() == Scope.ALL;
-        double most = settings.limits().maxRetryAfterMs();
+        boolean everywhere = request.mayHaveRun == null || request.kind.repeat() == Repeat.PURE
+                || request.kind.scope() == Scope.ALL;
+        double leftMs = repeatUntilMs(request) - now;
+        boolean harmless = !unsure && everywhere && leftMs > 0;
+        // A repeat inside its window does no harm: the client must be able to come back before its end.
+        double most = Math.min(settings.limits().maxRetryAfterMs(), leftMs / 2);
         double later = settings.limits().retryAfter() ? Math.min(most, WAIT_MS) : 0;
         actions.add(harmless ? new Refuse(request.asked.id(), later) : new Fail(request.asked.id()));
         request.attempts.forEach(this::cancel);
--- a/src/main/java/maplerail/Router.java
+++ b/src/main/java/maplerail/Router.java
@@ -73,8 +73,16 @@
     /** Something to do. */
     sealed interface Action permits Send, Cancel, Release, Refuse, Fail, SetTimer, Subscribe, FetchList, Log { }
 
-    /** Make an attempt, which times out at {@code untilMs}; attempts of a request are numbered from 0. */
-    record Send(long id, long engine, double untilMs) implements Action { }
+    /**
+     * Make an attempt, which times out at {@code untilMs} and must not begin after {@code startByMs}; attempts of a
+     * request are numbered from 0.
+     */
+    record Send(long id, long engine, double untilMs, double startByMs) implements Action {
+        /** An attempt that may begin at any time until it times out. */
+        public Send(long id, long engine, double untilMs) {
+            this(id, engine, untilMs, Double.POSITIVE_INFINITY);
+        }
+    }
 
     /** Call an attempt off. */
     record Cancel(long id, int attempt) implements Action { }
--- a/src/main/java/maplerail/core/Send.java
+++ b/src/main/java/maplerail/core/Send.java
@@ -63,6 +63,12 @@
                 Send.this.ended(attempt, outcome, kept);
             }
         });
+        if (order.startByMs() < until) loop.at(order.startByMs(), () -> withdraw(attempt));
+    }
+
+    /** Takes an attempt back while not a byte of it has gone out. */
+    private void withdraw(Entry.Try attempt) {
+        if (!attempt.ended && attempt.sending.unsent()) cut(attempt, Outcome.UNREACHABLE);
     }
 
     private void heard(Entry.Try attempt, byte[] event) {
@@ -147,8 +153,7 @@
         for (Entry entry : book.all()) {
             // A copy, as the module may answer the end of one with another.
             for (Entry.Try attempt : List.copyOf(entry.tries)) {
-                boolean unsent = !attempt.ended && attempt.sending != null && attempt.sending.unsent();
-                if (unsent && !fleet.ready(attempt.engine)) cut(attempt, Outcome.UNREACHABLE);
+                if (!fleet.ready(attempt.engine)) withdraw(attempt);
             }
         }
     }
--- a/src/test/java/maplerail/LogicTest.java
+++ b/src/test/java/maplerail/LogicTest.java
@@ -478,6 +478,40 @@
         assertEquals(1, node.of(Fail.class).size());
     }
 
+    /** The repeat may have to wait for a connection, and a client that is told to come again comes after that. */
+    @Test
+    void aKeyedRequestIsNeitherSentNorRefusedAfterItsWindow() {
+        Node node = new Node();
+        node.repeat = Repeat.KEYED;
+        node.retryAfter = true;
+        node.start(reader(1), writer(11), writer(12));
+        node.arrive(1);
+        node.end(1, 0, Outcome.READ);
+        assertEquals(Double.POSITIVE_INFINITY, node.sent().startByMs(), "the first has no window yet");
+        double windowEndMs = node.now + 2_000;
+        node.now += 100;
+        node.end(1, 1, Outcome.RESET);
+        assertTrue(node.sent().startByMs() < windowEndMs && node.sent().startByMs() > windowEndMs - 50);
+        node.now = windowEndMs + 1;
+        node.end(1, 2, Outcome.RESET);
+        assertEquals(1, node.of(Fail.class).size(), "at once, as nothing more can be done");
+        assertTrue(node.of(Refuse.class).isEmpty());
+    }
+
+    @Test
+    void aKeyedRequestIsRefusedInsideItsWindowWithTimeToComeBack() {
+        Node node = new Node();
+        node.repeat = Repeat.KEYED;
+        node.retryAfter = true;
+        node.start(reader(1), writer(11));
+        node.arrive(1, 0, 0, 1_000, 1_500);
+        node.end(1, 0, Outcome.READ);
+        double windowEndMs = node.now + 2_000;
+        node.until(2_600);
+        assertEquals(1, node.of(Refuse.class).size());
+        assertTrue(node.now + node.of(Refuse.class).get(0).retryAfterMs() < windowEndMs);
+    }
+
     @Test
     void twoAttemptsAtOnceNeedLeave() {
         Node node = new Node();
--- a/src/test/java/maplerail/core/BrokerTest.java
+++ b/src/test/java/maplerail/core/BrokerTest.java
@@ -363,6 +363,22 @@
         assertThat(outcomes()).containsExactly(Outcome.UNREACHABLE, Outcome.NOT_SENT);
     }
 
+    /** A repeat is dropped by engines for a limited time only: one that waits for a connection must not go after it. */
+    @Test
+    void anAttemptThatHasNotGoneOutByItsTimeIsWithdrawn() {
+        unsent = true;
+        take("a", new Router.Send(1, WRITER, 0, 1_300));
+        loop.until(1_299);
+        assertThat(out.get(0).aborted).isFalse();
+        loop.until(1_300);
+        assertThat(out.get(0).aborted).isTrue();
+        assertThat(outcomes()).containsExactly(Outcome.UNREACHABLE);
+        unsent = false;
+        take("b", new Router.Send(2, WRITER, 0, 1_500));
+        loop.until(1_600);
+        assertThat(out.get(1).aborted).as("it has gone out in time").isFalse();
+    }
+
     /** The module sends what was withdrawn elsewhere at once, while others wait to be withdrawn. */
     @Test
     void allThatHasNotGoneOutObeysADrainThoughOthersAreSentMeanwhile() {
