Leave a read open, too, while the reader of an earlier state is out of reach

Send.callOff left writes open in that case but not reads. BrokerTest.aReadIsLeftOpen... fails without it. It does not help once that read ends by itself before the silent reader answers: then nothing is out any more.

--- a/src/main/java/maplerail/core/Send.java
+++ b/src/main/java/maplerail/core/Send.java
@@ -128,13 +128,14 @@
     }
 
     /**
-     * Ends an attempt; one that may still take a state only once the state's reader answers. Guards against a writer
-     * and a reader that fell silent together: with the attempt ended, nobody could let go of the state in time.
+     * Ends an attempt; while a state is held for the request only once the state's reader answers. Guards against a
+     * reader that fell silent: with no attempt out, the state would count as pinned before it could be let go. That
+     * goes for a read at another reader, too, which is under way because a writer could not reach the first.
      */
     private void callOff(Entry.Try attempt) {
         Entry entry = attempt.entry;
         if (attempt.ended || attempt.lingers) return;
-        attempt.lingers = entry.answered && entry.winner != attempt && !attempt.reader && !entry.holds.isEmpty()
+        attempt.lingers = entry.answered && entry.winner != attempt && !entry.holds.isEmpty()
                 && !attempt.sending.unsent();
         if (!attempt.lingers) {
             cut(attempt, Outcome.CANCELLED);
--- a/src/test/java/maplerail/core/BrokerTest.java
+++ b/src/test/java/maplerail/core/BrokerTest.java
@@ -21,6 +21,7 @@
 class BrokerTest {
     private static final long READER = 1;
     private static final long WRITER = 2;
+    private static final long OTHER_READER = 3;
 
     private final TestLoop loop = new TestLoop();
     private final List<Router.Event> told = new ArrayList<>();
@@ -130,7 +131,7 @@
 
     private void list(State writer) {
         broker.members(new Router.Members(ListKind.WHOLE, 1, List.of(new Member(READER, State.READY, 0, 0, 0, 1, 0),
-                new Member(WRITER, writer, 0, 0, 0, 1, 1))));
+                new Member(WRITER, writer, 0, 0, 0, 1, 1), new Member(OTHER_READER, State.READY, 0, 0, 0, 1, 0))));
     }
 
     /** Makes the module do something, by news that changes nothing. */
@@ -302,6 +303,27 @@
         assertThat(broker.remembered()).isZero();
     }
 
+    /** A writer could not reach the first reader, the prompt is read at another, and then the request ends. */
+    @Test
+    void aReadIsLeftOpenWhileTheReaderOfAnEarlierStateIsOutOfReach() {
+        take("a", send(READER));
+        next.add(send(WRITER));
+        out.get(0).answer.ended(Outcome.READ, 0);
+        next.add(send(OTHER_READER));
+        out.get(1).answer.ended(Outcome.STATE_GONE, 0);
+        inReach = false;
+        act(new Router.Fail(1), new Cancel(1, 2), new Release(1));
+        assertThat(caller).as("the client hears at once").containsExactly("fail ENGINE");
+        assertThat(out.get(2).aborted).isFalse();
+        inReach = true;
+        next.add(new Release(1));
+        unheard.get(0).run();
+        assertThat(out.get(2).aborted).isTrue();
+        assertThat(released).contains("1/a", "3/a");
+        loop.until(60_000);
+        assertThat(broker.remembered()).isZero();
+    }
+
     @Test
     void anAttemptIsNotLeftOpenForGood() {
         take("a", send(READER));
