Wait for the releases that are still owed before a drained process ends

Seen in review: Gateway.finish stopped the process once no request was remembered. Releases that were under way (retried until answered) or scheduled after a cut read were dropped, and the state stayed pinned at its reader.

--- a/src/main/java/maplerail/cli/Gateway.java
+++ b/src/main/java/maplerail/cli/Gateway.java
@@ -197,7 +197,8 @@
     private void finish() {
         if (lifecycle.phase() == Phase.DRAINING) lifecycle.move(Phase.FINISHING);
         listeners.get(0).closeIdle();
-        if (listeners.get(0).busy() > 0 || remembered() > 0 || rpc != null && rpc.openRequests() > 0) {
+        boolean owesRelease = broker.scheduledReleases() > 0 || engines.pendingReleases() > 0;
+        if (listeners.get(0).busy() > 0 || remembered() > 0 || owesRelease || rpc != null && rpc.openRequests() > 0) {
             loop.at(loop.nowMs() + LOOK_MS, this::finish);
             return;
         }
--- a/src/main/java/maplerail/core/Book.java
+++ b/src/main/java/maplerail/core/Book.java
@@ -19,6 +19,7 @@
     private final Map<Long, Entry> entries = new HashMap<>();
     private final Map<Long, Runnable> closers = new HashMap<>();
     private int unanswered;
+    private int scheduledReleases;
 
     Book(Engines engines, Loop loop, Quotas quotas, double pinLimitMs) {
         this.engines = engines;
@@ -49,6 +50,11 @@
         return entries.size();
     }
 
+    /** Releases that are still to be sent for requests which may be closed already. */
+    int scheduledReleases() {
+        return scheduledReleases;
+    }
+
     /** True the first time only: whoever gets true gives the final answer, or knows that nobody wants one. */
     boolean answer(Entry entry) {
         if (entry.answered) return false;
@@ -75,7 +81,9 @@
         // though nobody waits: the state that it leaves then is held like any other.
         if (loop.nowMs() - entry.lastCutMs >= JUST_CUT_MS) return;
         for (double afterMs : AGAIN_MS) {
+            scheduledReleases++;
             loop.at(loop.nowMs() + afterMs, () -> {
+                scheduledReleases--;
                 boolean inUse = entry.outAt(engine) || entry.holds.contains(engine) || entry.winner != null;
                 if (!entry.answered && inUse) return;
                 engines.release(engine, entry.ask.id(), loop.nowMs() + pinLimitMs, () -> { });
