See a client leave that sent hundreds of requests behind the open one

Seen in review: Answer.look stopped reading once 64 KiB of further requests had been set aside, and the end of the client's side stands behind them. A client that sent some hundred requests at once and left was not seen to leave, and its first request was sent on. PlatformTest.aClientThatLeavesBehindEarlyRequestsEndsThemAll(1000) fails without it.

--- a/src/main/java/maplerail/front/platform/Answer.java
+++ b/src/main/java/maplerail/front/platform/Answer.java
@@ -4,7 +4,6 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.protocol.http.HttpServerConnection;
 import io.undertow.util.Headers;
-import io.undertow.util.ImmediatePooledByteBuffer;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
@@ -18,9 +17,9 @@
 /** A client's open request: relays a stream to it as it comes, or words the one final answer. */
 final class Answer implements Caller {
     private static final int MOST_WAITING = 64 * 1024; // bytes that the client has not taken yet
-    private static final int MOST_EARLY = 64 * 1024; // bytes of further requests; with more unread, none is watched
 
     private final HttpServerExchange exchange;
+    private final EarlyBytes early;
     private final ArrayDeque<ByteBuffer> waiting = new ArrayDeque<>();
     private int waitingBytes;
     private RequestHandle handle;
@@ -29,8 +28,9 @@
     private boolean ending;
     private boolean over;
 
-    Answer(HttpServerExchange exchange) {
+    Answer(HttpServerExchange exchange, EarlyBytes early) {
         this.exchange = exchange;
+        this.early = early;
     }
 
     /** From now on the client's leaving is told to this handle. */
@@ -60,37 +60,30 @@
             raw.suspendReads(); // what has come is the next request's: the server reads it after this one
             return;
         }
-        PooledByteBuffer early = connection.getByteBufferPool().allocate();
+        PooledByteBuffer received = connection.getByteBufferPool().allocate();
         try {
-            int count = raw.read(early.getBuffer());
+            int count = raw.read(received.getBuffer());
             if (count < 0) left();
             if (count <= 0) return;
-            early.getBuffer().flip();
+            received.getBuffer().flip();
             // Not gone but early. Reading goes on, as the end of its side would stand behind that.
-            if (setAside(connection, early.getBuffer()) > MOST_EARLY) raw.suspendReads();
+            if (!early.add(connection, received.getBuffer())) raw.suspendReads();
         } catch (IOException e) {
             left();
         } finally {
-            early.close();
+            received.close();
         }
     }
 
-    /** Keeps what came early for the server, which reads it as the next request; how much is kept now. */
-    private static int setAside(HttpServerConnection connection, ByteBuffer early) {
-        PooledByteBuffer before = connection.getExtraBytes();
-        int kept = before == null ? 0 : before.getBuffer().remaining();
-        ByteBuffer all = ByteBuffer.allocate(kept + early.remaining());
-        if (before != null) {
-            all.put(before.getBuffer());
-            before.close();
-        }
-        connection.setExtraBytes(new ImmediatePooledByteBuffer(all.put(early).flip()));
-        return all.remaining();
+    /** No answer is owed any more. */
+    private void finish() {
+        over = true;
+        if (exchange.getConnection() instanceof HttpServerConnection connection) early.forget(connection);
     }
 
     private void left() {
         if (over) return;
-        over = true;
+        finish();
         IoUtils.safeClose(exchange.getConnection());
         if (handle != null) handle.gone();
     }
@@ -129,7 +122,7 @@
             }
             if (ending) {
                 sink.shutdownWrites();
-                over = true;
+                finish();
             }
             if (!sink.flush()) {
                 sink.resumeWrites();
@@ -166,7 +159,7 @@
     @Override
     public void broken() {
         if (over) return;
-        over = true;
+        finish();
         // What is still waiting goes out if it can at once; then the connection ends with no last chunk.
         try {
             while (!waiting.isEmpty() && sink.write(waiting.peek()) > 0) {
@@ -200,7 +193,7 @@
 
     void say(int status, String message) {
         if (over) return;
-        over = true;
+        finish();
         exchange.setStatusCode(status);
         exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
         exchange.getResponseSender().send("{\"error\":{\"message\":\"" + message + "\"}}\n");
--- a/src/main/java/maplerail/front/platform/PlatformFront.java
+++ b/src/main/java/maplerail/front/platform/PlatformFront.java
@@ -24,6 +24,7 @@
     private final Broker broker;
     private final RequestReader reader;
     private final Lifecycle lifecycle;
+    private final EarlyBytes early = new EarlyBytes();
     private ClientListener listener;
 
     /** Makes a front for clients that name classes and tenants so. */
@@ -43,7 +44,7 @@
         ServerConnection connection = exchange.getConnection();
         listener.entered(exchange);
         if (lifecycle.phase().ends()) exchange.getResponseHeaders().put(Headers.CONNECTION, "close");
-        Answer answer = new Answer(exchange);
+        Answer answer = new Answer(exchange, early);
         if (exchange.getRequestURI().equals("/-/ready")) {
             answer.say(lifecycle.phase() == Phase.READY ? 200 : 503, "");
         } else if (exchange.getRequestURI().startsWith("/-/")) {
--- a/src/test/java/maplerail/front/PlatformTest.java
+++ b/src/test/java/maplerail/front/PlatformTest.java
@@ -268,8 +268,9 @@
     }
 
     /** What came early stands before the end of the client's side: whoever stops reading there never sees it leave. */
-    @Test
-    void aClientThatLeavesBehindAnEarlyRequestEndsBoth() throws Exception {
+    @ParameterizedTest
+    @ValueSource(ints = {9, 1_000})
+    void aClientThatLeavesBehindEarlyRequestsEndsThemAll(int requests) throws Exception {
         BlockingQueue<StandIn.Exchange> waiting = World.queue();
         BlockingQueue<String> ended = World.queue();
         StandIn.Handler silent = x -> {
@@ -282,9 +283,9 @@
             try (Socket client = world.connect()) {
                 client.getOutputStream().write(request("a1", "repair-order", "60").getBytes(StandardCharsets.UTF_8));
                 take(waiting);
-                for (int i = 2; i <= 9; i++) {
-                    client.getOutputStream().write(request("a" + i, "lookup", "60").getBytes(StandardCharsets.UTF_8));
-                }
+                StringBuilder early = new StringBuilder();
+                for (int i = 2; i <= requests; i++) early.append(request("a" + i, "lookup", "60"));
+                client.getOutputStream().write(early.toString().getBytes(StandardCharsets.UTF_8));
             }
             assertThat(take(ended)).isEqualTo("a1");
             await("nothing remembered", () -> world.gateway.remembered() == 0);
@@ -293,18 +294,21 @@
     }
 
     /** All that came early is answered, in its order. */
-    @Test
-    void manyRequestsAtOnceAreAnsweredOneAfterTheOther() throws Exception {
+    @ParameterizedTest
+    @ValueSource(ints = {40, 600})
+    void manyRequestsAtOnceAreAnsweredOneAfterTheOther(int requests) throws Exception {
         try (StandIn reader = World.reader(); StandIn writer = World.writer();
                 World world = new World().engine("r", "prefill", reader).engine("w", "decode", writer).start();
                 Socket client = world.connect()) {
             StringBuilder all = new StringBuilder();
-            for (int i = 0; i < 40; i++) all.append(request("a" + i, i % 2 == 0 ? "lookup" : "nonsense", "5.0"));
+            for (int i = 0; i < requests; i++) {
+                all.append(request("a" + i, i % 2 == 0 ? "lookup" : "nonsense", "5.0"));
+            }
             all.append(request("z", "lookup", "5.0").replaceFirst("\r\n", "\r\nConnection: close\r\n"));
             client.getOutputStream().write(all.toString().getBytes(StandardCharsets.UTF_8));
             String[] answers = World.readAll(client.getInputStream()).split("HTTP/1.1 ");
-            assertThat(answers).hasSize(42);
-            for (int i = 0; i <= 40; i++) assertThat(answers[i + 1]).startsWith(i % 2 == 0 ? "200" : "400");
+            assertThat(answers).hasSize(requests + 2);
+            for (int i = 0; i <= requests; i++) assertThat(answers[i + 1]).startsWith(i % 2 == 0 ? "200" : "400");
         }
     }
 
