End the start on settings with a nonsensical value, in one line that names the field

Negative, zero or wrongly typed values were taken as they were or replaced by defaults (a negative sendCap, a tickMs that is not a number, cancel: "yes"). Each now ends the start with status 2 and one line that names the field. A list whose seq is negative counts as one that cannot be read. MainTest has a row for each kind.

--- a/src/main/java/maplerail/config/EngineList.java
+++ b/src/main/java/maplerail/config/EngineList.java
@@ -28,7 +28,7 @@
                     place(names.zones(), host.at("site")), (int) host.at("block").number(0),
                     host.at("share").number(1), place(names.kinds(), host.at("class"))));
         }
-        return new EngineList((long) root.need("seq").number(), root.at("whole").flag(), List.copyOf(members),
+        return new EngineList((long) root.need("seq").atLeast(0), root.at("whole").flag(), List.copyOf(members),
                 Map.copyOf(addresses));
     }
 
--- a/src/main/java/maplerail/config/NodeConfig.java
+++ b/src/main/java/maplerail/config/NodeConfig.java
@@ -26,8 +26,9 @@
                 address(environment.get("RELAY_LISTEN"), "RELAY_LISTEN", root, "listen"),
                 address(environment.get("RELAY_DISCOVERY"), "RELAY_DISCOVERY", root, "discovery"), names,
                 SettingsReader.read(EngineIds.key(root.at("seed").text("1")), settings).settings(), known,
-                new Wire(limits.at("connIdleMs").number(30_000), limits.at("connectTimeoutMs").number(250),
-                        (int) limits.at("maxOpen").number(20_000), limits.at("retryAfter").flag(), sockets(root)));
+                new Wire(limits.at("connIdleMs").positive(30_000), limits.at("connectTimeoutMs").positive(250),
+                        (int) limits.at("maxOpen").atLeast(1, 20_000), limits.at("retryAfter").flagOrAbsent(),
+                        sockets(root)));
     }
 
     private static int sockets(Tree root) {
--- a/src/main/java/maplerail/config/SettingsReader.java
+++ b/src/main/java/maplerail/config/SettingsReader.java
@@ -19,9 +19,9 @@
     /** Reads the settings from a larger text that holds them. */
     public static Parsed read(long seed, Tree root) {
         Tree family = root.need("familyInfo");
-        return new Parsed(new Router.Settings(seed, (int) root.need("balancers").number(),
-                (int) root.need("zone").number(), root.need("tickMs").number(),
-                "ask".equals(root.at("discovery").text("")), root.at("overShareWorth").number(1),
+        return new Parsed(new Router.Settings(seed, (int) root.need("balancers").atLeast(1),
+                (int) root.need("zone").atLeast(0), root.need("tickMs").positive(),
+                "ask".equals(root.at("discovery").text("")), root.at("overShareWorth").atLeast(0, 1),
                 classes(root, family), tenants(root), kinds(family), limits(root, family), rules(root, family)),
                 memoryColumn(root));
     }
@@ -30,13 +30,16 @@
         List<Router.RequestClass> out = new ArrayList<>();
         for (Tree lane : root.need("lanes").list()) {
             int i = out.size();
-            double aimUsPerK = family.at("aimUsPer1000PromptTokens").at(i).number(0);
-            out.add(new Router.RequestClass(lane.need("goalTimeMs").number(), aimUsPerK / 1e6,
-                    lane.need("deadlineMs").number(), family.at("tokenAimMs").at(i).number(0),
-                    lane.at("worth").number(1), lane.at("lateShare").number(0), repeat(lane.need("repeat")),
+            double aimUsPerK = family.at("aimUsPer1000PromptTokens").at(i).atLeast(0, 0);
+            Router.Repeat repeat = repeat(lane.need("repeat"));
+            Tree window = repeat == Router.Repeat.KEYED ? lane.need("keyTtlMs") : lane.at("keyTtlMs");
+            out.add(new Router.RequestClass(lane.need("goalTimeMs").positive(), aimUsPerK / 1e6,
+                    lane.need("deadlineMs").positive(), family.at("tokenAimMs").at(i).atLeast(0, 0),
+                    lane.at("worth").atLeast(0, 1), lane.at("lateShare").atLeast(0, 0), repeat,
                     lane.at("keyScope").present() ? scope(lane.at("keyScope")) : Router.Scope.ALL,
-                    lane.at("keyTtlMs").number(0)));
+                    window.atLeast(0, 0)));
         }
+        if (out.isEmpty()) throw new ConfigException(root.at("lanes").path() + ": empty");
         return List.copyOf(out);
     }
 
@@ -65,7 +68,7 @@
 
     private static List<Router.Tenant> tenants(Tree root) {
         return root.at("parties").list().stream()
-                .map(party -> new Router.Tenant(party.at("quotaRps").number(0))).toList();
+                .map(party -> new Router.Tenant(party.at("quotaRps").atLeast(0, 0))).toList();
     }
 
     private static List<Router.Kind> kinds(Tree family) {
@@ -75,26 +78,27 @@
                 case "read" -> Router.Role.READ;
                 case "write" -> Router.Role.WRITE;
                 case "both" -> Router.Role.BOTH;
-                default -> throw new ConfigException("settings: kindRole: unknown role '" + role.text() + "'");
+                default -> throw unknown(role);
             };
-            out.add(new Router.Kind(known, family.at("kindMemoryTokens").at(out.size()).number(0)));
+            out.add(new Router.Kind(known, family.at("kindMemoryTokens").at(out.size()).atLeast(0, 0)));
         }
+        if (out.isEmpty()) throw new ConfigException(family.at("kindRole").path() + ": empty");
         return List.copyOf(out);
     }
 
     private static Router.Limits limits(Tree root, Tree family) {
         Tree limits = root.need("limits");
-        return new Router.Limits((int) limits.need("sendCap").number(), limits.at("cancel").flag(),
-                limits.at("secondCopies").flag(), limits.at("retryAfter").flag(),
-                limits.at("maxRetryAfterMs").number(0), family.at("readInPlace").flag());
+        return new Router.Limits((int) limits.need("sendCap").atLeast(1), limits.at("cancel").flagOrAbsent(),
+                limits.at("secondCopies").flagOrAbsent(), limits.at("retryAfter").flagOrAbsent(),
+                limits.at("maxRetryAfterMs").atLeast(0, 0), family.at("readInPlace").flagOrAbsent());
     }
 
     private static Router.Rules rules(Tree root, Tree family) {
         Tree rules = root.need("rules");
-        return new Router.Rules(rules.at("answerSlackMs").number(0), family.need("pinLimitMs").number(),
-                rules.need("startCapacity").number(), rules.need("tipMultiple").number(),
-                rules.need("overloadForMs").number(), rules.need("warmAfterMs").number(),
-                rules.at("mustAskInMs").number(0));
+        return new Router.Rules(rules.at("answerSlackMs").atLeast(0, 0), family.need("pinLimitMs").positive(),
+                rules.need("startCapacity").atLeast(0), rules.need("tipMultiple").positive(),
+                rules.need("overloadForMs").atLeast(0), rules.need("warmAfterMs").atLeast(0),
+                rules.at("mustAskInMs").atLeast(0, 0));
     }
 
     private static int memoryColumn(Tree root) {
--- a/src/main/java/maplerail/config/Tree.java
+++ b/src/main/java/maplerail/config/Tree.java
@@ -164,6 +164,36 @@
         return value instanceof Number number ? number.doubleValue() : other;
     }
 
+    /** The number, which must be one and at least so much. */
+    public double atLeast(double least) {
+        double number = number();
+        if (number >= least) return number;
+        throw new ConfigException(path + ": under " + (long) least);
+    }
+
+    /** The number, which must be at least so much, or another where there is no value. */
+    public double atLeast(double least, double absent) {
+        return present() ? atLeast(least) : absent;
+    }
+
+    /** The number, which must be one and above 0. */
+    public double positive() {
+        double number = number();
+        if (number > 0) return number;
+        throw new ConfigException(path + ": not above 0");
+    }
+
+    /** The number, which must be above 0, or another where there is no value. */
+    public double positive(double absent) {
+        return present() ? positive() : absent;
+    }
+
+    /** The truth value, which must be one; false where there is no value. */
+    public boolean flagOrAbsent() {
+        if (present() && !(value instanceof Boolean)) throw new ConfigException(path + ": not true or false");
+        return flag();
+    }
+
     /** True only where it says so. */
     public boolean flag() {
         return Boolean.TRUE.equals(value);
--- a/src/test/java/maplerail/cli/MainTest.java
+++ b/src/test/java/maplerail/cli/MainTest.java
@@ -49,7 +49,35 @@
             "listen":"127.0.0.1:0"    | "listen":7             | config.listen
             "discovery":"127          | "discovery":"x127      | config.discovery
             "settings":{              | "setting":{            | config.settings
-            "sendCap":5               | "sendCap":"5"          | config.settings.limits.sendCap
+            "sendCap":5               | "sendCap":"5"          | config.settings.limits.sendCap: not a number
+            "sendCap":5               | "sendCap":-1           | config.settings.limits.sendCap: under 1
+            "sendCap":5               | "sendCap":0            | config.settings.limits.sendCap: under 1
+            "sendCap":5               | "x":5                  | config.settings.limits.sendCap: missing
+            "cancel":true             | "cancel":"yes"         | config.settings.limits.cancel: not true or false
+            "connIdleMs":30000.0      | "connIdleMs":0         | config.settings.limits.connIdleMs: not above 0
+            "connectTimeoutMs":250.0  | "connectTimeoutMs":"x" | config.settings.limits.connectTimeoutMs: not a number
+            "connectTimeoutMs":250.0  | "connectTimeoutMs":-5  | config.settings.limits.connectTimeoutMs: not above 0
+            "maxOpen":20000           | "maxOpen":0            | config.settings.limits.maxOpen: under 1
+            "maxRetryAfterMs":1000.0  | "maxRetryAfterMs":-1   | config.settings.limits.maxRetryAfterMs: under 0
+            "balancers":1             | "balancers":0          | config.settings.balancers: under 1
+            "zone":0                  | "zone":-1              | config.settings.zone: under 0
+            "tickMs":2.0              | "tickMs":true          | config.settings.tickMs: not a number
+            "tickMs":2.0              | "tickMs":0             | config.settings.tickMs: not above 0
+            "tickMs":2.0              | "tickMs":NaN           | not JSON
+            "overShareWorth":0.2      | "overShareWorth":"low" | config.settings.overShareWorth: not a number
+            "quotaRps":1000.0         | "quotaRps":-1          | config.settings.parties[0].quotaRps: under 0
+            "goalTimeMs":1200.0       | "goalTimeMs":0         | config.settings.lanes[0].goalTimeMs: not above 0
+            "goalTimeMs":1200.0       | "x":1200.0             | config.settings.lanes[0].goalTimeMs: missing
+            "deadlineMs":6000.0       | "deadlineMs":-6000     | config.settings.lanes[0].deadlineMs: not above 0
+            "repeat":"pure"           | "repeat":"token"       | config.settings.lanes[0].keyTtlMs: missing
+            "worth":2.0               | "worth":"much"         | config.settings.lanes[0].worth: not a number
+            "lanes":[                 | "lanes":[],"x":[       | config.settings.lanes: empty
+            "kindMemoryTokens":[200000 | "kindMemoryTokens":[-1 | config.settings.familyInfo.kindMemoryTokens[0]: under 0
+            "pinLimitMs":500.0        | "pinLimitMs":0         | config.settings.familyInfo.pinLimitMs: not above 0
+            "tokenAimMs":[60.0        | "tokenAimMs":[-60.0    | config.settings.familyInfo.tokenAimMs[0]: under 0
+            "tipMultiple":2.5         | "tipMultiple":0        | config.settings.rules.tipMultiple: not above 0
+            "warmAfterMs":14000.0     | "warmAfterMs":-1       | config.settings.rules.warmAfterMs: under 0
+            "startCapacity":0.26      | "x":0.26               | config.settings.rules.startCapacity: missing
             "repeat":"pure"           | "repeat":"often"       | config.settings.lanes[0].repeat
             "kindRole":["read"        | "kindRole":["typist"   | kindRole
             "name":"lookup"           | "nom":"lookup"         | config.settings.lanes[0].name
@@ -61,7 +89,7 @@
         assertThat(run(Map.of("RELAY_CONFIG", file.toString()), "check-config")).as(printed).isZero();
         Files.writeString(file, config().replace(right, wrong));
         assertThat(run(Map.of(), "check-config", "--config", file.toString())).isEqualTo(2);
-        assertThat(printed).contains(key);
+        assertThat(printed).contains(key).containsOnlyOnce("\n").endsWith("\n");
     }
 
     @ParameterizedTest
