Space the releases after a cut read by the pin limit that the settings tell

The times at which a cut read's state is let go again were absolute (up to 500 ms apart), made for a pin limit of 500 ms. With a limit of 100 or 250 ms a read that ends between two of them stayed pinned for longer than the limit. BrokerTest.aReadThatEndsLongAfterItWasCutOff... fails without it for 100 and 250 ms.

--- a/src/main/java/maplerail/core/Book.java
+++ b/src/main/java/maplerail/core/Book.java
@@ -6,8 +6,11 @@
 
 /** Last stage: the books. One final answer for each request, and nothing left held for it anywhere. */
 final class Book {
-    /** After a cut, when what a reader finished all the same is let go: soon, and within the limit of any later end. */
-    private static final double[] AGAIN_MS = {120, 400, 750, 1_100, 1_600};
+    /** After a cut, when what a reader finished all the same is first let go, and last. */
+    private static final double FIRST_AGAIN_MS = 120;
+    private static final double LAST_AGAIN_MS = 1_600;
+    /** Between two of these, in pin limits, so that a read which ends in between is let go within the limit. */
+    private static final double AGAIN_LIMITS = 0.7;
     private static final double JUST_CUT_MS = 150;
     /** For which a release is tried, in pin limits: an engine that comes back into reach later still holds the state. */
     private static final double TRIED_LIMITS = 4;
@@ -80,7 +83,7 @@
         // Guards against a release that overtakes the end of a connection, and against a reader that goes on reading
         // though nobody waits: the state that it leaves then is held like any other.
         if (loop.nowMs() - entry.lastCutMs >= JUST_CUT_MS) return;
-        for (double afterMs : AGAIN_MS) {
+        for (double afterMs = FIRST_AGAIN_MS; afterMs <= LAST_AGAIN_MS; afterMs += AGAIN_LIMITS * pinLimitMs) {
             scheduledReleases++;
             loop.at(loop.nowMs() + afterMs, () -> {
                 scheduledReleases--;
--- a/src/test/java/maplerail/core/BrokerTest.java
+++ b/src/test/java/maplerail/core/BrokerTest.java
@@ -16,6 +16,8 @@
 import maplerail.Router.State;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** The broker between a scripted module and engines that are not there. */
 class BrokerTest {
@@ -28,6 +30,7 @@
     private final List<Router.Action> next = new ArrayList<>();
     private final List<Out> out = new ArrayList<>();
     private final List<String> released = new ArrayList<>();
+    private final List<Double> releasedAtMs = new ArrayList<>();
     private final List<Runnable> unheard = new ArrayList<>();
     private boolean inReach = true;
     private double releasedForMs;
@@ -99,6 +102,10 @@
 
     @BeforeEach
     void start() {
+        start(500);
+    }
+
+    private void start(double pinLimitMs) {
         Router router = (now, events) -> {
             if (broken) throw new IllegalStateException("oops");
             told.addAll(events);
@@ -108,7 +115,7 @@
         };
         Router.Settings settings = new Router.Settings(1, 1, 0, 2, false, 1, List.of(), List.of(),
                 List.of(new Router.Kind(Router.Role.READ, 1), new Router.Kind(Router.Role.WRITE, 1)),
-                new Router.Limits(5, true, true, true, 1_000, false), new Router.Rules(8, 500, 1, 1, 1, 1, 1));
+                new Router.Limits(5, true, true, true, 1_000, false), new Router.Rules(8, pinLimitMs, 1, 1, 1, 1, 1));
         Engines engines = new Engines() {
             @Override
             public Sending send(long engine, Ask ask, double untilMs, Answer answer) {
@@ -119,6 +126,7 @@
             @Override
             public void release(long engine, String id, double untilMs, Runnable answered) {
                 released.add(engine + "/" + id);
+                releasedAtMs.add(loop.now);
                 if (inReach) answered.run();
                 else unheard.add(answered);
                 releasedForMs = untilMs - loop.now;
@@ -365,6 +373,19 @@
         assertThat(released).hasSize(6);
     }
 
+    @ParameterizedTest
+    @ValueSource(doubles = {100, 250, 500, 1_500})
+    void aReadThatEndsLongAfterItWasCutOffIsLetGoWithinThePinLimit(double pinLimitMs) {
+        start(pinLimitMs);
+        take("a", send(READER));
+        act(new Cancel(1, 0));
+        loop.until(60_000);
+        for (int i = 1; i < releasedAtMs.size(); i++) {
+            assertThat(releasedAtMs.get(i) - releasedAtMs.get(i - 1)).isLessThanOrEqualTo(Math.max(120, pinLimitMs));
+        }
+        assertThat(releasedAtMs.get(releasedAtMs.size() - 1)).isGreaterThan(2_000 - pinLimitMs);
+    }
+
     @Test
     void aLeftoverIsNotLetGoWhileItsReaderIsInUse() {
         take("a", send(READER));
