Look whether a client has left right before each attempt for it

The loop runs all due tasks before it reads anything. Send.attempt now asks the caller, which looks at its socket. BrokerTest.nothingMoreIsSentForACallerWhoseLeavingHasNotBeenHeardYet fails without it.

--- a/src/main/java/maplerail/core/Broker.java
+++ b/src/main/java/maplerail/core/Broker.java
@@ -35,7 +35,7 @@
         relay = new Relay(book, loop, trail);
         send = new Send(engines, loop, fleet, book, relay, settings.limits().maxAttempts());
         route = new Route(router, loop, this::perform, send::settle, log);
-        send.use(route);
+        send.use(route, this::gone);
     }
 
     /** Takes a request; its caller gets its one final answer in any case. */
@@ -122,6 +122,10 @@
         leave(entry);
     }
 
+    private void gone(Entry entry) {
+        if (book.answer(entry)) leave(entry);
+    }
+
     private void leave(Entry entry) {
         route.tell(new Router.Abandoned(entry.number));
         send.cutAll(entry);
@@ -146,8 +150,7 @@
 
         @Override
         public void gone() {
-            if (!book.answer(entry)) return;
-            leave(entry);
+            Broker.this.gone(entry);
         }
 
         @Override
--- a/src/main/java/maplerail/core/Caller.java
+++ b/src/main/java/maplerail/core/Caller.java
@@ -5,6 +5,11 @@
     /** Why a request was not served. */
     enum Why { INVALID, DUPLICATE, BUDGET, OVERLOAD, ENGINE, DEADLINE }
 
+    /** True if the caller has left; looks for it now, as its leaving may wait unread while the loop is busy. */
+    default boolean hasLeft() {
+        return false;
+    }
+
     /** A piece of the answer, unchanged; false asks for a pause until {@link RequestHandle#writable()}. */
     boolean event(byte[] event);
 
--- a/src/main/java/maplerail/core/Send.java
+++ b/src/main/java/maplerail/core/Send.java
@@ -3,6 +3,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Consumer;
 import maplerail.Router;
 import maplerail.Router.Outcome;
 
@@ -21,6 +22,7 @@
     private final int maxAttempts;
     private final Set<Entry> touched = new LinkedHashSet<>();
     private Route route;
+    private Consumer<Entry> gone;
 
     Send(Engines engines, Loop loop, Fleet fleet, Book book, Relay relay, int maxAttempts) {
         this.engines = engines;
@@ -31,8 +33,10 @@
         this.maxAttempts = maxAttempts;
     }
 
-    void use(Route to) {
+    /** Where attempts' ends are told, and who hears of a caller that is found to have left. */
+    void use(Route to, Consumer<Entry> whenGone) {
         route = to;
+        gone = whenGone;
     }
 
     void attempt(Router.Send order) {
@@ -40,6 +44,7 @@
         if (entry == null) return;
         Entry.Try attempt = new Entry.Try(entry, order.engine(), fleet.reader(order.engine()), loop.nowMs());
         entry.tries.add(attempt);
+        if (!entry.answered && entry.caller.hasLeft()) gone.accept(entry);
         double until = order.untilMs() > 0 ? Math.min(order.untilMs(), entry.deadlineMs) : entry.deadlineMs;
         // Guards against a send for what is over, or to an engine that the list has told to leave alone.
         if (entry.answered || until <= loop.nowMs() || attempt.number >= maxAttempts || !fleet.ready(order.engine())) {
@@ -134,7 +139,7 @@
      */
     private void callOff(Entry.Try attempt) {
         Entry entry = attempt.entry;
-        if (attempt.ended || attempt.lingers) return;
+        if (attempt.ended || attempt.lingers || attempt.sending == null) return;
         attempt.lingers = entry.answered && entry.winner != attempt && !entry.holds.isEmpty()
                 && !attempt.sending.unsent();
         if (!attempt.lingers) {
--- a/src/main/java/maplerail/front/platform/Answer.java
+++ b/src/main/java/maplerail/front/platform/Answer.java
@@ -55,6 +55,16 @@
         if (!over) raw.resumeReads();
     }
 
+    @Override
+    public boolean hasLeft() {
+        boolean watched = !over && exchange.getConnection() instanceof HttpServerConnection;
+        if (watched) {
+            HttpServerConnection connection = (HttpServerConnection) exchange.getConnection();
+            look(connection, connection.getOriginalSourceConduit());
+        }
+        return over;
+    }
+
     private void look(HttpServerConnection connection, StreamSourceConduit raw) {
         if (over) {
             raw.suspendReads(); // what has come is the next request's: the server reads it after this one
--- a/src/test/java/maplerail/core/BrokerTest.java
+++ b/src/test/java/maplerail/core/BrokerTest.java
@@ -37,6 +37,7 @@
     private final List<String> caller = new ArrayList<>();
     private boolean ready = true;
     private boolean unsent;
+    private boolean left;
     private Runnable whenAborted = () -> { };
     private boolean broken;
     private Broker broker;
@@ -151,6 +152,11 @@
     private RequestHandle take(String id, Router.Action... actions) {
         next.addAll(List.of(actions));
         return broker.take(new Ask(id, 0, 0, 0, 10, 0, 0, 5_000, 10, 0, false, 10, null), new Caller() {
+            @Override
+            public boolean hasLeft() {
+                return left;
+            }
+
             @Override
             public boolean event(byte[] event) {
                 caller.add("event");
@@ -291,6 +297,21 @@
         assertThat(broker.remembered()).isZero();
     }
 
+    /** A busy loop may have read an engine's answer, or a timer may be due, before the caller's leaving is read. */
+    @Test
+    void nothingMoreIsSentForACallerWhoseLeavingHasNotBeenHeardYet() {
+        take("a", send(READER));
+        left = true;
+        next.add(send(WRITER));
+        out.get(0).answer.ended(Outcome.READ, 0);
+        assertThat(out).hasSize(1);
+        assertThat(told).anyMatch(e -> e instanceof Router.Abandoned);
+        assertThat(outcomes()).containsExactly(Outcome.READ, Outcome.NOT_SENT);
+        assertThat(released).containsExactly("1/a");
+        assertThat(caller).isEmpty();
+        assertThat(broker.remembered()).isZero();
+    }
+
     /** With the attempt ended nobody could let go of the state in time: to its reader it is being taken until then. */
     @Test
     void anAttemptIsLeftOpenWhileTheReaderOfItsStateIsOutOfReach() {
