Let connections that came up while the loop stood still be seen before they count as late

Pool.later put the time-out behind two rounds of tasks, to let connections that had come up be seen first. XNIO's WorkerThread runs tasks until there are none before it selects, so that this did nothing: after a pause of the loop longer than the connect time-out all connections on their way counted as failed. XnioLoop.afterInput waits 5 ms in the delay queue. PoolTest.aConnectionThatCameUpWhileTheLoopStoodStillIsUsed fails without it.

--- a/src/main/java/maplerail/net/Pool.java
+++ b/src/main/java/maplerail/net/Pool.java
@@ -95,7 +95,7 @@
 
     /** Guards against a loop that is behind: what has come up by now is seen first. */
     private void later(Call call) {
-        loop.execute(() -> loop.execute(call::failUnconnected));
+        loop.afterInput(call::failUnconnected);
     }
 
     /** The last one used that has been quiet since; a second answer right behind the first must not meet a request. */
--- a/src/main/java/maplerail/net/XnioLoop.java
+++ b/src/main/java/maplerail/net/XnioLoop.java
@@ -8,6 +8,7 @@
 
 /** The broker's loop on an XNIO thread: everything that it owns runs there and needs no locks. */
 public final class XnioLoop implements Loop {
+    private static final long INPUT_MS = 5; // more than a round of due tasks takes
     private final XnioIoThread thread;
     private final long startNanos = System.nanoTime();
     private final double startMs = System.currentTimeMillis();
@@ -38,6 +39,14 @@
         }
     }
 
+    /**
+     * Runs a task once what has arrived by now has been read. The thread runs all tasks that are due before it reads
+     * anything: after a pause, a time limit would otherwise be over before it is seen that it was kept.
+     */
+    public Alarm afterInput(Runnable task) {
+        return at(nowMs() + INPUT_MS, task);
+    }
+
     /** Runs a task soon, from any thread; not at all once the thread is stopping. */
     public void execute(Runnable task) {
         try {
--- a/src/test/java/maplerail/net/PoolTest.java
+++ b/src/test/java/maplerail/net/PoolTest.java
@@ -11,7 +11,10 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
 import maplerail.support.StandIn;
@@ -201,6 +204,41 @@
         }
     }
 
+    /** After a pause of the whole program, as for a start, timers are due before connections are seen to have come up. */
+    @Test
+    void aConnectionThatCameUpWhileTheLoopStoodStillIsUsed() throws Exception {
+        try (StandIn server = new StandIn(x -> x.reply(200, ""))) {
+            Pool pool = pool(30_000, 100);
+            loop.execute(() -> {
+                pool.start(server.socketAddress(), request(server.socketAddress()), new byte[2], new Heard(heard));
+                double stoppedMs = loop.nowMs();
+                while (loop.nowMs() < stoppedMs + 300) Thread.onSpinWait();
+            });
+            assertThat(take(heard)).isEqualTo("end");
+        }
+    }
+
+    /** A connection that comes up too late is kept for others; what gave up on it is not written. */
+    @Test
+    void whatWaitedTooLongForItsConnectionIsNeverWritten() throws Exception {
+        List<Socket> before = new ArrayList<>();
+        try (ServerSocket full = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            InetSocketAddress at = (InetSocketAddress) full.getLocalSocketAddress();
+            // With its backlog full, the machine answers no further connection until one is accepted.
+            for (int i = 0; i < 2; i++) before.add(new Socket(at.getAddress(), at.getPort()));
+            assertThat(post(pool(30_000, 100), at)).isEqualTo("never sent");
+            for (int i = 0; i < 2; i++) full.accept().close();
+            full.setSoTimeout(2_000);
+            try (Socket late = full.accept()) {
+                assertThat(World.readAll(late.getInputStream())).isIn("", "<reset>");
+            } catch (SocketTimeoutException e) {
+                assertThat(before).as("the connection was called off before it came up").hasSize(2);
+            }
+        } finally {
+            for (Socket socket : before) socket.close();
+        }
+    }
+
     @Test
     void aConnectionThatIsRefusedProvesThatNothingWasSent() throws Exception {
         StandIn gone = new StandIn(x -> { });
