Close no client's connection over a request that has arrived but was not read yet

The close is now made after the next read, if nothing has come. ClientListenerTest.aRequestThatArrivedWhileTheLoopStoodStillIsNotClosedOver fails without it.

--- a/src/main/java/maplerail/core/Loop.java
+++ b/src/main/java/maplerail/core/Loop.java
@@ -8,6 +8,9 @@
     /** Runs a task at a time, not before it; the task can be called off. */
     Alarm at(double whenMs, Runnable task);
 
+    /** Runs a task once what has arrived by now has been read. */
+    Alarm afterInput(Runnable task);
+
     /** A task that waits for its time. */
     interface Alarm {
         /** Calls the task off; does nothing once it has run. */
--- a/src/main/java/maplerail/front/ClientListener.java
+++ b/src/main/java/maplerail/front/ClientListener.java
@@ -137,13 +137,26 @@
             };
             if (late) ended.add(connection);
         });
-        ended.forEach(this::turnOut);
+        ended.forEach(this::turnOutUnlessHeard);
         end(State.IDLE, tracked.size() >= most - most / FULL_PART ? SILENT_MS : IDLE_MS, now);
         end(State.SILENT, SILENT_MS, now);
         looking = !tracked.isEmpty();
         if (looking) loop.at(now + LOOK_MS, this::look);
     }
 
+    /**
+     * Ends a connection unless a request has come on it by now. Guards against a loop that stood still: timers run
+     * before what has arrived is read, and a close over unread bytes would lose a request that is already there.
+     */
+    private void turnOutUnlessHeard(StreamConnection connection) {
+        Tracked client = tracked.get(connection);
+        State state = client.state;
+        double sinceMs = client.sinceMs;
+        loop.afterInput(() -> {
+            if (client.state == state && client.sinceMs == sinceMs && tracked.containsKey(connection)) turnOut(connection);
+        });
+    }
+
     private void turnOut(StreamConnection connection) {
         Tracked client = tracked.remove(connection);
         if (client.state == State.ARRIVING) {
@@ -163,7 +176,7 @@
         tracked.entrySet().stream()
                 .filter(e -> e.getValue().state == state && now - e.getValue().sinceMs >= leastMs)
                 .sorted((a, b) -> Double.compare(a.getValue().sinceMs, b.getValue().sinceMs))
-                .limit(over).map(Map.Entry::getKey).toList().forEach(this::turnOut);
+                .limit(over).map(Map.Entry::getKey).toList().forEach(this::turnOutUnlessHeard);
     }
 
     /** Ends the connections on which nothing is open or on its way, for a program that is about to stop. */
@@ -172,7 +185,7 @@
         tracked.forEach((connection, client) -> {
             if (client.state == State.IDLE || client.state == State.SILENT) idle.add(connection);
         });
-        idle.forEach(IoUtils::safeClose);
+        idle.forEach(this::turnOutUnlessHeard);
     }
 
     /** Ends all connections: the worker's end alone would leave them open. */
--- a/src/main/java/maplerail/net/XnioLoop.java
+++ b/src/main/java/maplerail/net/XnioLoop.java
@@ -40,9 +40,10 @@
     }
 
     /**
-     * Runs a task once what has arrived by now has been read. The thread runs all tasks that are due before it reads
-     * anything: after a pause, a time limit would otherwise be over before it is seen that it was kept.
+     * The thread runs all tasks that are due before it reads anything: after a pause, a time limit would otherwise be
+     * over before it is seen that it was kept.
      */
+    @Override
     public Alarm afterInput(Runnable task) {
         return at(nowMs() + INPUT_MS, task);
     }
--- a/src/test/java/maplerail/core/BrokerTest.java
+++ b/src/test/java/maplerail/core/BrokerTest.java
@@ -60,6 +60,11 @@
             return () -> due.remove(one);
         }
 
+        @Override
+        public Alarm afterInput(Runnable task) {
+            return at(now, task);
+        }
+
         void until(double time) {
             while (!due.isEmpty() && due.peek().at <= time) {
                 Due one = due.poll();
--- a/src/test/java/maplerail/front/ClientListenerTest.java
+++ b/src/test/java/maplerail/front/ClientListenerTest.java
@@ -5,15 +5,27 @@
 import static maplerail.support.World.take;
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
+import maplerail.net.XnioLoop;
 import maplerail.support.StandIn;
 import maplerail.support.World;
 import org.junit.jupiter.api.Test;
+import org.xnio.ChannelListeners;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.StreamConnection;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+import org.xnio.channels.AcceptingChannel;
+import org.xnio.channels.StreamSourceChannel;
 
 class ClientListenerTest {
     private static final int LIMIT_MS = 20_000; // ends a test that would never end
@@ -50,6 +62,48 @@
         }
     }
 
+    /** After a pause timers are due before what has arrived is read: a request that is there must not be closed over. */
+    @Test
+    void aRequestThatArrivedWhileTheLoopStoodStillIsNotClosedOver() throws Exception {
+        XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
+        BlockingQueue<String> heard = World.queue();
+        try {
+            XnioLoop loop = new XnioLoop(worker.getIoThread());
+            ClientListener listener = new ClientListener(connection -> {
+                connection.getSourceChannel().setReadListener(channel -> read(channel, heard));
+                connection.getSourceChannel().resumeReads();
+                heard.add("accepted");
+            }, loop, 0);
+            AcceptingChannel<StreamConnection> server = worker.createStreamConnectionServer(
+                    new InetSocketAddress("127.0.0.1", 0), ChannelListeners.openListenerAdapter(listener), OptionMap.EMPTY);
+            server.resumeAccepts();
+            InetSocketAddress at = server.getLocalAddress(InetSocketAddress.class);
+            CountDownLatch written = new CountDownLatch(1);
+            try (Socket client = new Socket(at.getAddress(), at.getPort())) {
+                assertThat(take(heard)).isEqualTo("accepted");
+                loop.execute(() -> {
+                    // The client is silent for too long; its request comes while the loop stands still.
+                    double silentMs = loop.nowMs() + 300;
+                    while (written.getCount() > 0 || loop.nowMs() < silentMs) Thread.onSpinWait();
+                });
+                client.getOutputStream().write('x');
+                written.countDown();
+                assertThat(take(heard)).isEqualTo("x");
+            }
+        } finally {
+            worker.shutdownNow();
+        }
+    }
+
+    private static void read(StreamSourceChannel channel, BlockingQueue<String> heard) {
+        ByteBuffer bytes = ByteBuffer.allocate(1);
+        try {
+            if (channel.read(bytes) > 0) heard.add("x");
+        } catch (IOException e) {
+            heard.add(e.toString());
+        }
+    }
+
     /** Discovery is down while they come, and has news when it is back. */
     @Test
     void idleClientsLeaveRoomForRequestsEnginesAndDiscovery() throws Exception {
