--- a/src/test/java/maplerail/cli/DrainTest.java
+++ b/src/test/java/maplerail/cli/DrainTest.java
@@ -67,6 +67,29 @@
         }
     }
 
+    /** The close over the bytes that nobody reads any more would reset the connection. */
+    @Test
+    void anAnswerIsWholeThoughItsClientHasSentMore() throws Exception {
+        BlockingQueue<StandIn.Exchange> streams = World.queue();
+        String event = "data: " + "x".repeat(1_000) + "\n\n";
+        try (StandIn reader = World.reader(); StandIn writer = new StandIn(x -> {
+            x.stream();
+            streams.add(x);
+        }); World world = new World().engine("r", "prefill", reader).engine("w", "decode", writer).start();
+                Socket client = world.connect()) {
+            world.gateway.drain();
+            await("draining", () -> world.gateway.phase() == Phase.DRAINING);
+            send(client, request("a1", "lookup", "60"));
+            StandIn.Exchange stream = take(streams);
+            send(client, request("a2", "lookup", "60") + request("a3", "lookup", "60").substring(0, 40));
+            for (int i = 0; i < 100; i++) stream.chunk(event);
+            stream.last();
+            String answer = World.readAll(client.getInputStream());
+            assertThat(answer.split("data: x", -1)).hasSize(101);
+            assertThat(answer).contains("\r\n0\r\n\r\n").doesNotContain("<reset>");
+        }
+    }
+
     @Test
     void connectionsThatEndedInMidRequestDoNotHoldUpTheExit() throws Exception {
         BlockingQueue<StandIn.Exchange> streams = World.queue();
--- a/src/test/java/maplerail/discovery/PlatformWatchTest.java
+++ b/src/test/java/maplerail/discovery/PlatformWatchTest.java
@@ -39,6 +39,28 @@
         }
     }
 
+    @Test
+    void aListThatCannotBeReadChangesNothingAndIsAskedForAgain() throws Exception {
+        AtomicInteger asked = new AtomicInteger();
+        try (StandIn reader = World.reader(); StandIn writer = World.writer();
+                StandIn agent = new StandIn(x -> {
+                    switch (asked.incrementAndGet()) {
+                        case 1 -> x.reply(200, "{\"seq\":7,\"whole\":true,\"hosts\":");
+                        case 2 -> x.reply(200, "{\"seq\":-7,\"whole\":true,\"hosts\":[]}");
+                        case 3 -> x.reply(200, "[]");
+                        case 4 -> x.reply(200, "{\"whole\":true,\"hosts\":[]}");
+                        default -> x.awaitEnd();
+                    }
+                });
+                World world = new World().engine("r", "prefill", reader).engine("w", "decode", writer)
+                        .discoveredBy(agent)) {
+            world.start();
+            await("asked again", () -> asked.get() >= 5);
+            assertThat(agent.seen.subList(1, 5)).as("anew").containsOnly("GET /api/targets");
+            assertThat(world.exchange(request("a1", "lookup", "5.0"))).startsWith("HTTP/1.1 200");
+        }
+    }
+
     /** What a silent call missed counts as told 6 s after it fell silent. */
     @Test
     void aCallThatFallsSilentIsFollowedByAnotherWithinTheTimeToBeTold() throws Exception {
--- a/src/test/java/maplerail/front/PlatformTest.java
+++ b/src/test/java/maplerail/front/PlatformTest.java
@@ -146,6 +146,22 @@
         }
     }
 
+    /** All its events have come, but only the last chunk says so. */
+    @ParameterizedTest
+    @ValueSource(strings = {"", "0", "0\r\n", "0\r\n\r"})
+    void aStreamCutRightBeforeTheEndOfItsLastChunkIsNotWhole(String end) throws Exception {
+        StandIn.Handler handler = x -> {
+            x.stream();
+            x.chunk("data: [DONE]\n\n");
+            x.write(end);
+            x.reset();
+        };
+        try (StandIn reader = World.reader(); StandIn writer = new StandIn(handler);
+                World world = new World().engine("r", "prefill", reader).engine("w", "decode", writer).start()) {
+            assertThat(world.exchange(request("a1", "lookup", "5.0"))).doesNotContain("\r\n0\r\n");
+        }
+    }
+
     /** The connection stays open, but nothing on it can be believed any more. */
     @ParameterizedTest
     @ValueSource(strings = {"zz\r\n", "\r\n", "3\r\ndata: 2\n\n\r\n", "c0000000\r\ndata", "99\r\ndata: 2\n\n\r\n0\r\n\r\n"})
