Reserve connections for the watch and for releases when attempts fill the pool

Seen in review: the watch, releases and attempts share one pool. With all its connections held by attempts at engines that hang, a watch got none and news of drains was missed, and releases got none. Calls that carry no client's request may go 8 connections over the limit. PoolTest.aWatchAndAReleaseFindRoomThoughThePoolIsFull fails without it.

--- a/src/main/java/maplerail/cli/Gateway.java
+++ b/src/main/java/maplerail/cli/Gateway.java
@@ -51,7 +51,8 @@
     private static final int CLIENT_PERCENT = 55;
     private static final int RPC_PERCENT = 10;
     private static final int TOOLS_PERCENT = 10; // connections to tool servers
-    private static final int OWN_SOCKETS = 40; // what the machine, the listeners and the log hold
+    /** What the machine, the listeners and the log hold, and the connections that pools reserve. */
+    private static final int OWN_SOCKETS = 40;
 
     private final NodeConfig config;
     private final Lifecycle lifecycle = new Lifecycle();
--- a/src/main/java/maplerail/net/Call.java
+++ b/src/main/java/maplerail/net/Call.java
@@ -21,6 +21,7 @@
     private final byte[] body;
     private final Reply reply;
     private final AnswerReader reader;
+    private final boolean urgent;
     /** Head and body; null until there is a connection to write them to. */
     private ByteBuffer bytes;
     private Link link;
@@ -34,12 +35,18 @@
     private int unitsSeen;
 
     /** Makes a call whose head is asked for when it is about to be written: what it tells of time must hold then. */
-    Call(Pool pool, Supplier<ClientRequest> request, byte[] body, Reply reply) {
+    Call(Pool pool, Supplier<ClientRequest> request, byte[] body, Reply reply, boolean urgent) {
         this.pool = pool;
         this.request = request;
         this.body = body;
         this.reply = reply;
         this.reader = new AnswerReader(reply);
+        this.urgent = urgent;
+    }
+
+    /** True if it goes before others, as it carries no client's request but keeps a rule. */
+    boolean urgent() {
+        return urgent;
     }
 
     private static ByteBuffer bytes(ClientRequest request, byte[] body) {
--- a/src/main/java/maplerail/net/Pool.java
+++ b/src/main/java/maplerail/net/Pool.java
@@ -24,6 +24,7 @@
     private static final double RETIRE_SHARE = 0.5; // of the time after which the far side closes
     private static final double SETTLE_MS = 30; // after an answer, in which what else belongs to it would come
     private static final int MAX_CONNECTING = 24; // to one address: one that never answers must not take all
+    private static final int RESERVED = 8; // connections over the limit, for calls that carry no client's request
     private static final double SWEEP_MS = 1_000;
     private static final OptionMap OPTIONS = OptionMap.builder().set(Options.TCP_NODELAY, true).getMap();
 
@@ -39,7 +40,7 @@
     private int connectingInAll;
     private boolean sweeping;
 
-    /** Makes a pool of at most so many connections, which the far side closes after being idle for some time. */
+    /** Makes a pool of at most so many connections, and some reserved ones, which the far side closes after being idle for some time. */
     public Pool(XnioLoop loop, ByteBufferPool buffers, double connIdleMs, double connectTimeoutMs, int most) {
         this.loop = loop;
         this.buffers = buffers;
@@ -50,19 +51,20 @@
 
     /** Starts a request; the reply hears of it after this call has returned. */
     public Call start(InetSocketAddress to, ClientRequest request, byte[] body, Reply reply) {
-        // Guards against a release that waits behind a crowd of reads until what it lets go counts as pinned.
-        return start(to, new Call(this, () -> request, body, reply), request.getMethod().equals(Methods.DELETE));
+        boolean urgent = !request.getMethod().equals(Methods.POST);
+        return start(to, new Call(this, () -> request, body, reply, urgent));
     }
 
     /** Starts a request whose head is made only once there is a connection for it. */
     public Call start(InetSocketAddress to, Supplier<ClientRequest> request, byte[] body, Reply reply) {
-        return start(to, new Call(this, request, body, reply), false);
+        return start(to, new Call(this, request, body, reply, false));
     }
 
-    private Call start(InetSocketAddress to, Call call, boolean urgent) {
+    private Call start(InetSocketAddress to, Call call) {
         if (!begin(to, call)) {
             ArrayDeque<Call> waiting = queued.computeIfAbsent(to, t -> new ArrayDeque<>());
-            if (urgent) waiting.addFirst(call);
+            // Guards against a release that waits behind a crowd of reads until what it lets go counts as pinned.
+            if (call.urgent()) waiting.addFirst(call);
             else waiting.addLast(call);
             call.connecting(loop.at(loop.nowMs() + connectMs, () -> later(call)), () -> { });
         }
@@ -73,7 +75,7 @@
         Link ready = fresh(to);
         if (ready != null) {
             call.on(ready);
-        } else if (connecting.getOrDefault(to, 0) >= MAX_CONNECTING || !room()) {
+        } else if (connecting.getOrDefault(to, 0) >= MAX_CONNECTING || !room(call)) {
             return false;
         } else {
             connect(to, call);
@@ -113,9 +115,12 @@
         return null;
     }
 
-    /** Guards against more connections than the descriptors allow: the one idle for the longest makes room. */
-    private boolean room() {
-        if (links.size() + connectingInAll < most) return true;
+    /**
+     * Guards against more connections than the descriptors allow: the one idle for the longest makes room. A watch or
+     * a release gets one beyond that, as attempts at engines that hang may hold all the others.
+     */
+    private boolean room(Call call) {
+        if (links.size() + connectingInAll < most + (call.urgent() ? RESERVED : 0)) return true;
         ArrayDeque<Link> oldest = idle.values().stream().filter(kept -> !kept.isEmpty())
                 .min(Comparator.comparingDouble(kept -> kept.peekFirst().idleSinceMs)).orElse(null);
         if (oldest == null) return false;
--- a/src/test/java/maplerail/net/PoolTest.java
+++ b/src/test/java/maplerail/net/PoolTest.java
@@ -170,6 +170,30 @@
         }
     }
 
+    /** Attempts at engines that hang must not hide what discovery tells, nor keep states pinned. */
+    @Test
+    void aWatchAndAReleaseFindRoomThoughThePoolIsFull() throws Exception {
+        BlockingQueue<StandIn.Exchange> waiting = World.queue();
+        try (StandIn hanging = new StandIn(x -> {
+            if (x.method.equals("DELETE")) x.reply(204, "");
+            else waiting.add(x);
+        }); StandIn agent = new StandIn(x -> x.reply(200, ""))) {
+            Pool pool = pool(30_000);
+            InetSocketAddress engine = hanging.socketAddress();
+            for (int i = 0; i < 50; i++) {
+                loop.execute(() -> pool.start(engine, request(engine), new byte[2], new Heard(heard)));
+                take(waiting);
+            }
+            InetSocketAddress discovery = agent.socketAddress();
+            loop.execute(() -> pool.start(discovery, Requests.to(discovery, Methods.GET, "/"), new byte[0],
+                    new Heard(heard)));
+            assertThat(take(heard)).isEqualTo("end");
+            loop.execute(() -> pool.start(engine, Requests.to(engine, Methods.DELETE, "/"), new byte[0],
+                    new Heard(heard)));
+            assertThat(take(heard)).isEqualTo("end");
+        }
+    }
+
     /** Or what it lets go would count as pinned by the time that a crowd of reads has been served. */
     @Test
     void aReleaseGoesBeforeTheCallsThatWait() throws Exception {
