Let a cut read's state go also when its request went on elsewhere

Seen in review: Book.letGo repeated a release only if some attempt had been cut within 150 ms. A read called off as overdue, whose request went on at another reader and ended later, got one release; if its reader ended the read after that, the state stayed. The first token also cleared such readers. The time of the cut is now kept for each reader. BrokerTest.aReadThatWasCutOffIsLetGoAgainThoughItsRequestEndedLater and ...AlsoWhenItsRequestIsServed fail without it.

--- a/src/main/java/maplerail/core/Book.java
+++ b/src/main/java/maplerail/core/Book.java
@@ -6,12 +6,12 @@
 
 /** Last stage: the books. One final answer for each request, and nothing left held for it anywhere. */
 final class Book {
-    /** After a cut, when what a reader finished all the same is first let go, and last. */
+    /** After a release, when what a cut reader finished all the same is next let go. */
     private static final double FIRST_AGAIN_MS = 120;
+    /** After a cut, for which a reader may read on. */
     private static final double LAST_AGAIN_MS = 1_600;
     /** Between two of these, in pin limits, so that a read which ends in between is let go within the limit. */
     private static final double AGAIN_LIMITS = 0.7;
-    private static final double JUST_CUT_MS = 150;
     /** For which a release is tried, in pin limits: an engine that comes back into reach later still holds the state. */
     private static final double TRIED_LIMITS = 4;
 
@@ -81,11 +81,12 @@
         entry.holds.remove(engine);
         engines.release(engine, entry.ask.id(), loop.nowMs() + TRIED_LIMITS * pinLimitMs, () -> { });
         // Guards against a release that overtakes the end of a connection, and against a reader that goes on reading
-        // though nobody waits: the state that it leaves then is held like any other.
-        if (loop.nowMs() - entry.lastCutMs >= JUST_CUT_MS) return;
-        for (double afterMs = FIRST_AGAIN_MS; afterMs <= LAST_AGAIN_MS; afterMs += AGAIN_LIMITS * pinLimitMs) {
+        // though nobody waits: the state that it leaves then is held like any other, also when the request has gone on
+        // elsewhere and ends long after the cut.
+        double lastMs = entry.cutReadsMs.getOrDefault(engine, Double.NEGATIVE_INFINITY) + LAST_AGAIN_MS;
+        for (double at = loop.nowMs() + FIRST_AGAIN_MS; at <= lastMs; at += AGAIN_LIMITS * pinLimitMs) {
             scheduledReleases++;
-            loop.at(loop.nowMs() + afterMs, () -> {
+            loop.at(at, () -> {
                 scheduledReleases--;
                 boolean inUse = entry.outAt(engine) || entry.holds.contains(engine) || entry.winner != null;
                 if (!entry.answered && inUse) return;
--- a/src/main/java/maplerail/core/Entry.java
+++ b/src/main/java/maplerail/core/Entry.java
@@ -1,8 +1,10 @@
 package maplerail.core;
 
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import maplerail.Router;
 
@@ -18,7 +20,8 @@
     final Set<Long> holds = new LinkedHashSet<>();
     boolean admitted;
     boolean answered;
-    double lastCutMs = Double.NEGATIVE_INFINITY;
+    /** When a read was last cut off at an engine, which may read on all the same and hold a state in the end. */
+    final Map<Long, Double> cutReadsMs = new LinkedHashMap<>();
     /** The attempt whose events the caller gets. */
     Try winner;
     Loop.Alarm guard;
--- a/src/main/java/maplerail/core/Send.java
+++ b/src/main/java/maplerail/core/Send.java
@@ -84,7 +84,8 @@
             attempt.timeout.cancel();
             watch(attempt, STALL_MS);
             entry.guard.cancel();
-            entry.mayHold.clear();
+            // What is held goes with the first token, but not what a reader that was cut off holds later.
+            entry.mayHold.retainAll(entry.cutReadsMs.keySet());
             entry.holds.clear();
             route.tell(new Router.FirstToken(entry.number, attempt.number, attempt.engine,
                     loop.nowMs() - attempt.sentMs));
@@ -168,7 +169,7 @@
         if (attempt.ended) return;
         Outcome proven = attempt.sending.unsent() && outcome == Outcome.CANCELLED ? Outcome.NOT_SENT : outcome;
         attempt.sending.abort();
-        attempt.entry.lastCutMs = loop.nowMs();
+        if (attempt.reader && !proven.neverRan) attempt.entry.cutReadsMs.put(attempt.engine, loop.nowMs());
         ended(attempt, proven, 0);
     }
 
--- a/src/test/java/maplerail/core/BrokerTest.java
+++ b/src/test/java/maplerail/core/BrokerTest.java
@@ -412,6 +412,38 @@
         assertThat(releasedAtMs.get(releasedAtMs.size() - 1)).isGreaterThan(2_000 - pinLimitMs);
     }
 
+    /** The first reader reads on though it was cut off; the request goes on elsewhere and ends before that read does. */
+    @Test
+    void aReadThatWasCutOffIsLetGoAgainThoughItsRequestEndedLater() {
+        take("a", send(READER));
+        next.add(send(OTHER_READER));
+        act(new Cancel(1, 0));
+        loop.until(1_600);
+        act(new Router.Fail(1), new Cancel(1, 1));
+        released.clear();
+        loop.until(60_000);
+        assertThat(released.stream().filter("1/a"::equals).count()).as("600 ms after the cut").isGreaterThanOrEqualTo(2);
+        assertThat(broker.scheduledReleases()).isZero();
+    }
+
+    /** What is held goes with the first token, but the first reader may end its read after that. */
+    @Test
+    void aReadThatWasCutOffIsLetGoAlsoWhenItsRequestIsServed() {
+        take("a", send(READER));
+        next.add(send(OTHER_READER));
+        act(new Cancel(1, 0));
+        next.add(send(WRITER));
+        out.get(1).answer.ended(Outcome.READ, 0);
+        out.get(2).answer.event(new byte[1]);
+        loop.until(1_200);
+        assertThat(released).isEmpty();
+        out.get(2).answer.ended(Outcome.SERVED, 0);
+        assertThat(released).containsExactly("1/a");
+        loop.until(2_600);
+        assertThat(released).hasSizeGreaterThan(3).containsOnly("1/a");
+        assertThat(broker.remembered()).isZero();
+    }
+
     @Test
     void aLeftoverIsNotLetGoWhileItsReaderIsInUse() {
         take("a", send(READER));
