Take turns between requests that come at once and the timers; log a loop that is behind

Cause: clients that send hundreds of requests at once. Undertow's HttpReadListener handles each pipelined request in a task that enqueues the next, and XNIO's WorkerThread looks at timers and sockets only when no task is left; releases and their retries wait for the whole flood. RequestTurnsTest fails without it.

--- a/src/main/java/maplerail/cli/Gateway.java
+++ b/src/main/java/maplerail/cli/Gateway.java
@@ -87,9 +87,10 @@
                 sockets - OWN_SOCKETS - sockets * CLIENT_PERCENT / 100 - tooling);
         engines = new EngineClient(pool);
         Router.Settings settings = config.settings();
-        broker = new Broker(new Logic(settings), settings, new Quotas(Budgets.open(config.wire().maxOpen()), loop), loop,
-                engines, line -> LOG.info("{}", line));
-        front = new PlatformFront(broker, config.names(), lifecycle);
+        Consumer<String> log = line -> LOG.info("{}", line);
+        Quotas quotas = new Quotas(Budgets.open(config.wire().maxOpen()), loop, log);
+        broker = new Broker(new Logic(settings), settings, quotas, loop, engines, log);
+        front = new PlatformFront(broker, config.names(), lifecycle, loop);
         watch = new PlatformWatch(pool, loop, config.discovery(), config.names(), settings.routers(),
                 settings.seed(), this::hear);
         tools = on ? new ToolServices(toolsConfig, loop, buffers, settings.seed(), sockets * TOOLS_PERCENT / 100) : null;
--- a/src/main/java/maplerail/cli/ToolServices.java
+++ b/src/main/java/maplerail/cli/ToolServices.java
@@ -39,7 +39,7 @@
         this.loop = loop;
         this.pool = new Pool(loop, buffers, IDLE_MS, CONNECT_MS, mostConnections);
         Router.Settings settings = config.settings(seed);
-        Quotas quotas = new Quotas(config.budgets(MOST_OPEN), loop);
+        Quotas quotas = new Quotas(config.budgets(MOST_OPEN), loop, line -> LOG.info("{}", line));
         for (String name : config.services().keySet()) {
             ToolClient client = new ToolClient(pool);
             clients.put(name, client);
--- a/src/main/java/maplerail/core/Quotas.java
+++ b/src/main/java/maplerail/core/Quotas.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.Consumer;
 import maplerail.core.Caller.Why;
 
 /**
@@ -17,6 +18,7 @@
 
     private final Budgets budgets;
     private final Loop loop;
+    private final Consumer<String> log;
     private final Map<Integer, Account> accounts = new HashMap<>();
     private int open;
     private boolean looking;
@@ -31,10 +33,11 @@
     /** Why a request is not admitted, and after how long it may be. */
     record Denied(Why why, double retryAfterMs) { }
 
-    /** Makes the keeper of these budgets. */
-    public Quotas(Budgets budgets, Loop loop) {
+    /** Makes the keeper of these budgets, which logs when the loop is too far behind to take anything new. */
+    public Quotas(Budgets budgets, Loop loop, Consumer<String> log) {
         this.budgets = budgets;
         this.loop = loop;
+        this.log = log;
     }
 
     /** Null if it may go on; it then counts as in flight until {@link #left}. */
@@ -59,6 +62,7 @@
      */
     private void look(double late) {
         behindMs = late;
+        if (late >= BEHIND_MS) log.accept("event loop behind by " + Math.round(late) + " ms; requests open: " + open);
         looking = open > 0;
         double due = loop.nowMs() + LOOK_MS;
         if (looking) loop.at(due, () -> look(loop.nowMs() - due));
--- a/src/main/java/maplerail/front/platform/PlatformFront.java
+++ b/src/main/java/maplerail/front/platform/PlatformFront.java
@@ -13,7 +13,9 @@
 import maplerail.core.Caller;
 import maplerail.core.Lifecycle;
 import maplerail.core.Lifecycle.Phase;
+import maplerail.core.Loop;
 import maplerail.front.ClientListener;
+import maplerail.front.RequestTurns;
 import org.xnio.IoUtils;
 
 /** The platform's protocol before the broker: readiness, and one request for each exchange. */
@@ -24,14 +26,16 @@
     private final Broker broker;
     private final RequestReader reader;
     private final Lifecycle lifecycle;
+    private final RequestTurns turns;
     private final EarlyBytes early = new EarlyBytes();
     private ClientListener listener;
 
     /** Makes a front for clients that name classes and tenants so. */
-    public PlatformFront(Broker broker, Names names, Lifecycle lifecycle) {
+    public PlatformFront(Broker broker, Names names, Lifecycle lifecycle, Loop loop) {
         this.broker = broker;
         this.reader = new RequestReader(names);
         this.lifecycle = lifecycle;
+        this.turns = new RequestTurns(loop);
     }
 
     /** Tells through which listener the clients come. */
@@ -41,8 +45,13 @@
 
     @Override
     public void handleRequest(HttpServerExchange exchange) {
-        ServerConnection connection = exchange.getConnection();
         listener.entered(exchange);
+        if (turns.handleNow()) handle(exchange);
+        else exchange.dispatch(turns, this::handle);
+    }
+
+    private void handle(HttpServerExchange exchange) {
+        ServerConnection connection = exchange.getConnection();
         if (lifecycle.phase().ends()) exchange.getResponseHeaders().put(Headers.CONNECTION, "close");
         Answer answer = new Answer(exchange, early);
         if (exchange.getRequestURI().equals("/-/ready")) {
--- a/src/test/java/maplerail/core/BrokerTest.java
+++ b/src/test/java/maplerail/core/BrokerTest.java
@@ -138,7 +138,7 @@
                 releasedForMs = untilMs - loop.now;
             }
         };
-        broker = new Broker(router, settings, new Quotas(Budgets.open(3), loop), loop, engines, line -> { });
+        broker = new Broker(router, settings, new Quotas(Budgets.open(3), loop, line -> { }), loop, engines, line -> { });
         list(State.READY);
         told.clear();
     }
@@ -520,7 +520,7 @@
 
     @Test
     void aTeamsRateComesBackWithTime() {
-        Quotas quotas = new Quotas(new Budgets(9, List.of(), List.of(new Budgets.Budget(2, 9))), loop);
+        Quotas quotas = new Quotas(new Budgets(9, List.of(), List.of(new Budgets.Budget(2, 9))), loop, line -> { });
         Ask ask = new Ask("a", 0, 0, 0, 0, 0, 0, 1, 0, 0, false, 0, null);
         assertThat(quotas.check(ask)).isNull();
         assertThat(quotas.check(ask)).isNull();
--- /dev/null
+++ b/src/test/java/maplerail/front/RequestTurnsTest.java
@@ -0,0 +1,59 @@
+package maplerail.front;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import maplerail.core.Loop;
+import org.junit.jupiter.api.Test;
+
+/** A flood of requests leaves the loop its time for timers and other connections. */
+class RequestTurnsTest {
+    private final ArrayDeque<Runnable> afterInput = new ArrayDeque<>();
+    private final List<Integer> handled = new ArrayList<>();
+    private final RequestTurns turns = new RequestTurns(new Loop() {
+        @Override
+        public double nowMs() {
+            return 0;
+        }
+
+        @Override
+        public Alarm at(double whenMs, Runnable task) {
+            throw new AssertionError("no timer is needed");
+        }
+
+        @Override
+        public Alarm afterInput(Runnable task) {
+            afterInput.add(task);
+            return () -> afterInput.remove(task);
+        }
+    });
+
+    private void arrive(int request) {
+        if (turns.handleNow()) handled.add(request);
+        else turns.execute(() -> handled.add(request));
+    }
+
+    @Test
+    void moreThanATurnTakesWaitForTheNextAndStayInOrder() {
+        int all = 2 * RequestTurns.PER_TURN + 3;
+        for (int request = 0; request < all; request++) arrive(request);
+        assertThat(handled).hasSize(RequestTurns.PER_TURN);
+        afterInput.poll().run();
+        assertThat(handled).hasSize(2 * RequestTurns.PER_TURN);
+        arrive(all);
+        assertThat(handled).as("others wait already").hasSize(2 * RequestTurns.PER_TURN);
+        afterInput.poll().run();
+        assertThat(handled).hasSize(all + 1).isSorted();
+    }
+
+    @Test
+    void fewRequestsAreHandledAtOnceAndNothingIsLeftRunning() {
+        arrive(1);
+        assertThat(handled).containsExactly(1);
+        while (!afterInput.isEmpty()) afterInput.poll().run();
+        arrive(2);
+        assertThat(handled).containsExactly(1, 2);
+    }
+}
