Take a request whose body comes slowly for as long as its client waits

A request had to be whole within 2.5 s of its first byte, whatever its client's deadline. Once its head is sound, a body that keeps coming may take as long as the client waits (at most the longest deadline of the settings); one that stops for 1 s after 2.5 s is ended as before. ClientListenerTest.aRequestWhoseBodyKeepsComingIsServed fails without it.

--- a/src/main/java/maplerail/front/ClientListener.java
+++ b/src/main/java/maplerail/front/ClientListener.java
@@ -28,6 +28,8 @@
     private static final Logger LOG = LoggerFactory.getLogger(ClientListener.class);
     /** From the connection's start, or its request's first byte, until the request must be whole. */
     private static final double ARRIVE_MS = 2_500;
+    /** Without a byte, after which a request that may take longer has stopped. */
+    private static final double STALLED_MS = 1_000;
     private static final double IDLE_MS = 2_000; // for which a client may rely on an idle connection
     private static final double SILENT_MS = 200; // for which a new one may be silent while room is short
     private static final double LONG_IDLE_MS = 30_000;
@@ -48,6 +50,9 @@
     private static final class Tracked {
         State state = State.SILENT;
         double sinceMs;
+        /** When the last bytes came, and for how long the request that is arriving may go on if more keep coming. */
+        double heardMs;
+        double arriveMs = ARRIVE_MS;
     }
 
     /** A listener before the HTTP server's own, through which at most so many connections should be at once. */
@@ -92,6 +97,7 @@
         }
 
         private void came() {
+            client.heardMs = loop.nowMs();
             // A new connection's time to get its request in runs from its start: it may be fed a byte at a time.
             if (client.state == State.IDLE) client.sinceMs = loop.nowMs();
             if (client.state == State.IDLE || client.state == State.SILENT) client.state = State.ARRIVING;
@@ -106,6 +112,12 @@
         });
     }
 
+    /** A request's head is sound, and its client waits for so long: a body that keeps coming may take that time. */
+    public void arriving(HttpServerExchange exchange, double budgetMs) {
+        Tracked client = find(exchange);
+        if (client != null) client.arriveMs = Math.max(ARRIVE_MS, budgetMs);
+    }
+
     /** A request is whole: its connection stays until it is answered. */
     public void open(HttpServerExchange exchange) {
         set(exchange, State.OPEN);
@@ -117,11 +129,16 @@
     }
 
     private void set(HttpServerExchange exchange, State state) {
-        ServerConnection connection = exchange.getConnection();
-        Tracked client = connection instanceof HttpServerConnection http ? tracked.get(http.getChannel()) : null;
+        Tracked client = find(exchange);
         if (client == null || client.state == State.KEPT) return;
         client.state = state;
         client.sinceMs = loop.nowMs();
+        client.arriveMs = ARRIVE_MS;
+    }
+
+    private Tracked find(HttpServerExchange exchange) {
+        ServerConnection connection = exchange.getConnection();
+        return connection instanceof HttpServerConnection http ? tracked.get(http.getChannel()) : null;
     }
 
     private void look() {
@@ -131,7 +148,8 @@
         tracked.forEach((connection, client) -> {
             double age = now - client.sinceMs;
             boolean late = switch (client.state) {
-                case SILENT, ARRIVING -> age >= ARRIVE_MS;
+                case SILENT -> age >= ARRIVE_MS;
+                case ARRIVING -> age >= client.arriveMs || age >= ARRIVE_MS && now - client.heardMs >= STALLED_MS;
                 case IDLE -> age >= LONG_IDLE_MS;
                 default -> false;
             };
--- a/src/main/java/maplerail/front/platform/PlatformFront.java
+++ b/src/main/java/maplerail/front/platform/PlatformFront.java
@@ -27,15 +27,18 @@
     private final RequestReader reader;
     private final Lifecycle lifecycle;
     private final RequestTurns turns;
+    /** Of all classes: for which a request may arrive at most, whatever its client says that it waits. */
+    private final double longestDeadlineMs;
     private final EarlyBytes early = new EarlyBytes();
     private ClientListener listener;
 
-    /** Makes a front for clients that name classes and tenants so. */
-    public PlatformFront(Broker broker, Names names, Lifecycle lifecycle, Loop loop) {
+    /** Makes a front for clients that name classes and tenants so, and wait for so long at most. */
+    public PlatformFront(Broker broker, Names names, Lifecycle lifecycle, Loop loop, double longestDeadlineMs) {
         this.broker = broker;
         this.reader = new RequestReader(names);
         this.lifecycle = lifecycle;
         this.turns = new RequestTurns(loop);
+        this.longestDeadlineMs = longestDeadlineMs;
     }
 
     /** Tells through which listener the clients come. */
@@ -64,6 +67,7 @@
             exchange.setPersistent(false);
             answer.say(413, "the body is too large");
         } else {
+            expectBody(exchange);
             // A body in chunks is read somewhat further: ended in the middle, its client would not see the answer.
             exchange.setMaxEntitySize(4 * MOST_BYTES);
             exchange.getRequestReceiver().receiveFullBytes(
@@ -75,6 +79,14 @@
         }
     }
 
+    private void expectBody(HttpServerExchange exchange) {
+        try {
+            listener.arriving(exchange, Math.min(longestDeadlineMs, RequestReader.budgetMs(exchange)));
+        } catch (RequestReader.BadRequest e) {
+            return; // told once the body is there
+        }
+    }
+
     private void take(HttpServerExchange exchange, Answer answer, byte[] body) {
         listener.open(exchange);
         if (body.length > MOST_BYTES) {
--- a/src/main/java/maplerail/front/platform/RequestReader.java
+++ b/src/main/java/maplerail/front/platform/RequestReader.java
@@ -45,8 +45,7 @@
         int kind = place(names.classes(), need(exchange, "Req-Kind"), "Req-Kind");
         int tenant = names.tenants().isEmpty() ? 0
                 : place(names.tenants(), need(exchange, "Req-Owner"), "Req-Owner");
-        double seconds = number(need(exchange, "Req-Deadline"), "Req-Deadline", MOST_S);
-        if (!(seconds > 0)) throw new BadRequest("Req-Deadline: not above 0");
+        double budgetMs = budgetMs(exchange);
         Map<String, String> extra = extra(exchange.getRequestHeaders().getFirst("Req-Extra"));
         double prompt = tokens(extra, "prompt_len", body.length / TOKEN_BYTES);
         long prefix = EngineIds.key(extra.get("prefix"));
@@ -54,11 +53,18 @@
         String hint = exchange.getRequestHeaders().getFirst("Req-Cost");
         boolean again = "again".equals(exchange.getRequestHeaders().getFirst("Req-Retry"));
         return new Ask(id, kind, tenant, EngineIds.key(exchange.getRequestHeaders().getFirst("Req-Key")), prompt,
-                prefix, prefix == 0 ? 0 : tokens(extra, "prefix_len", 0), seconds * 1_000, most,
+                prefix, prefix == 0 ? 0 : tokens(extra, "prefix_len", 0), budgetMs, most,
                 hint == null ? 0 : number(hint, "Req-Cost", MOST_S * 1_000), again, body.length,
                 new HttpPayload(exchange.getRequestMethod(), target(exchange), headers(exchange), body));
     }
 
+    /** How long the client waits. */
+    static double budgetMs(HttpServerExchange exchange) throws BadRequest {
+        double seconds = number(need(exchange, "Req-Deadline"), "Req-Deadline", MOST_S);
+        if (!(seconds > 0)) throw new BadRequest("Req-Deadline: not above 0");
+        return seconds * 1_000;
+    }
+
     private static String target(HttpServerExchange exchange) {
         String query = exchange.getQueryString();
         return exchange.getRequestURI() + (query.isEmpty() ? "" : "?" + query);
--- a/src/test/java/maplerail/front/ClientListenerTest.java
+++ b/src/test/java/maplerail/front/ClientListenerTest.java
@@ -62,6 +62,23 @@
         }
     }
 
+    /** As long as its client waits and goes on writing, however slowly. */
+    @Test
+    void aRequestWhoseBodyKeepsComingIsServed() throws Exception {
+        String whole = request("a1", "lookup", "60").replaceFirst("\r\n", "\r\nConnection: close\r\n");
+        int body = whole.indexOf("\r\n\r\n") + 4;
+        try (StandIn reader = World.reader(); StandIn writer = World.writer();
+                World world = new World().engine("r", "prefill", reader).engine("w", "decode", writer).start();
+                Socket client = send(world, whole.substring(0, body))) {
+            for (int i = body; i < whole.length(); i++) {
+                long startNanos = System.nanoTime();
+                await("some time later", () -> System.nanoTime() - startNanos > 250_000_000L);
+                client.getOutputStream().write(whole.charAt(i));
+            }
+            assertThat(World.readAll(client.getInputStream())).startsWith("HTTP/1.1 200").contains("[DONE]");
+        }
+    }
+
     /** After a pause timers are due before what has arrived is read: a request that is there must not be closed over. */
     @Test
     void aRequestThatArrivedWhileTheLoopStoodStillIsNotClosedOver() throws Exception {
