--- a/src/main/java/maplerail/cli/Gateway.java
+++ b/src/main/java/maplerail/cli/Gateway.java
@@ -90,7 +90,8 @@
         Consumer<String> log = line -> LOG.info("{}", line);
         Quotas quotas = new Quotas(Budgets.open(config.wire().maxOpen()), loop, log);
         broker = new Broker(new Logic(settings), settings, quotas, loop, engines, log);
-        double longestDeadlineMs = settings.classes().stream().mapToDouble(Router.RequestClass::deadlineMs).max().orElse(0);
+        double longestDeadlineMs = settings.classes().stream().mapToDouble(Router.RequestClass::deadlineMs).max()
+                .orElse(0);
         front = new PlatformFront(broker, config.names(), lifecycle, loop, longestDeadlineMs);
         watch = new PlatformWatch(pool, loop, config.discovery(), config.names(), settings.routers(),
                 settings.seed(), this::hear);
--- a/src/main/java/maplerail/front/ClientListener.java
+++ b/src/main/java/maplerail/front/ClientListener.java
@@ -171,7 +171,8 @@
         State state = client.state;
         double sinceMs = client.sinceMs;
         loop.afterInput(() -> {
-            if (client.state == state && client.sinceMs == sinceMs && tracked.containsKey(connection)) turnOut(connection);
+            boolean unchanged = client.state == state && client.sinceMs == sinceMs;
+            if (unchanged && tracked.containsKey(connection)) turnOut(connection);
         });
     }
 
