--- a/src/main/java/maplerail/cli/Gateway.java
+++ b/src/main/java/maplerail/cli/Gateway.java
@@ -42,7 +42,6 @@
 public final class Gateway {
     private static final Logger LOG = LoggerFactory.getLogger(Gateway.class);
     private static final double ARRIVING_MS = 600; // after the signal to stop, that connections may arrive for
-    private static final double CLOSING_MS = 200; // in which idle connections are closed in order before the end
     private static final double LOOK_MS = 20;
     private static final double CONFIRM_MS = 500; // for the agent on this machine to say what has changed
     /**
@@ -72,7 +71,6 @@
     private final ToolServices tools;
     private final RpcFront rpc;
     private final InetSocketAddress rpcListen;
-    private double finishingSinceMs;
     private AcceptingChannel<?> server;
     private AcceptingChannel<?> rpcServer;
     private final List<ClientListener> listeners = new ArrayList<>();
@@ -207,16 +205,9 @@
     }
 
     private void finish() {
-        if (lifecycle.phase() == Phase.DRAINING) {
-            lifecycle.move(Phase.FINISHING);
-            finishingSinceMs = loop.nowMs();
-        }
-        ClientListener clients = listeners.get(0);
-        clients.closeIdle();
-        boolean closing = clients.connections() > 0 && loop.nowMs() - finishingSinceMs < CLOSING_MS;
-        boolean owesRelease = broker.scheduledReleases() > 0 || engines.pendingReleases() > 0;
-        boolean owesAnswer = clients.busy() > 0 || remembered() > 0 || rpc != null && rpc.openRequests() > 0;
-        if (owesAnswer || owesRelease || closing) {
+        if (lifecycle.phase() == Phase.DRAINING) lifecycle.move(Phase.FINISHING);
+        listeners.get(0).closeIdle();
+        if (listeners.get(0).busy() > 0 || remembered() > 0 || rpc != null && rpc.openRequests() > 0) {
             loop.at(loop.nowMs() + LOOK_MS, this::finish);
             return;
         }
--- a/src/main/java/maplerail/core/Book.java
+++ b/src/main/java/maplerail/core/Book.java
@@ -22,7 +22,6 @@
     private final Map<Long, Entry> entries = new HashMap<>();
     private final Map<Long, Runnable> closers = new HashMap<>();
     private int unanswered;
-    private int scheduledReleases;
 
     Book(Engines engines, Loop loop, Quotas quotas, double pinLimitMs) {
         this.engines = engines;
@@ -53,11 +52,6 @@
         return entries.size();
     }
 
-    /** Releases that are still to be sent for requests which may be closed already. */
-    int scheduledReleases() {
-        return scheduledReleases;
-    }
-
     /** True the first time only: whoever gets true gives the final answer, or knows that nobody wants one. */
     boolean answer(Entry entry) {
         if (entry.answered) return false;
@@ -85,9 +79,7 @@
         // elsewhere and ends long after the cut.
         double lastMs = entry.cutReadsMs.getOrDefault(engine, Double.NEGATIVE_INFINITY) + LAST_AGAIN_MS;
         for (double at = loop.nowMs() + FIRST_AGAIN_MS; at <= lastMs; at += AGAIN_LIMITS * pinLimitMs) {
-            scheduledReleases++;
             loop.at(at, () -> {
-                scheduledReleases--;
                 boolean inUse = entry.outAt(engine) || entry.holds.contains(engine) || entry.winner != null;
                 if (!entry.answered && inUse) return;
                 engines.release(engine, entry.ask.id(), loop.nowMs() + pinLimitMs, () -> { });
--- a/src/main/java/maplerail/core/Broker.java
+++ b/src/main/java/maplerail/core/Broker.java
@@ -77,11 +77,6 @@
         return book.size();
     }
 
-    /** Releases that are still to be sent; a program that ends before them leaves states pinned. */
-    public int scheduledReleases() {
-        return book.scheduledReleases();
-    }
-
     private void perform(Router.Action action) {
         if (action instanceof Router.Send order) send.attempt(order);
         else if (action instanceof Router.Cancel order) send.cancel(order);
--- a/src/main/java/maplerail/front/ClientListener.java
+++ b/src/main/java/maplerail/front/ClientListener.java
@@ -204,7 +204,7 @@
         tracked.forEach((connection, client) -> {
             if (client.state == State.IDLE || client.state == State.SILENT) idle.add(connection);
         });
-        idle.forEach(this::turnOutUnlessHeard);
+        idle.forEach(IoUtils::safeClose);
     }
 
     /** Ends all connections: the worker's end alone would leave them open. */
--- a/src/main/java/maplerail/net/EngineClient.java
+++ b/src/main/java/maplerail/net/EngineClient.java
@@ -29,7 +29,6 @@
     private final Pool pool;
     private final XnioLoop loop;
     private final Map<Long, InetSocketAddress> addresses = new HashMap<>();
-    private int pendingReleases;
 
     /** Makes a client that opens its connections from a pool. */
     public EngineClient(Pool pool) {
@@ -120,14 +119,7 @@
     @Override
     public void release(long engine, String id, double untilMs, Runnable answered) {
         InetSocketAddress to = addresses.get(engine);
-        if (to == null) return;
-        pendingReleases++;
-        new Release(to, "/internal/reservations/" + id, untilMs, answered).attempt();
-    }
-
-    /** Releases that are neither answered nor given up. */
-    public int pendingReleases() {
-        return pendingReleases;
+        if (to != null) new Release(to, "/internal/reservations/" + id, untilMs, answered).attempt();
     }
 
     /** A release goes on until it is answered or too late: the time runs while connections fail to come up. */
@@ -164,19 +156,18 @@
         private void again(double afterMs) {
             silence.cancel();
             if (loop.nowMs() + afterMs < untilMs) loop.at(loop.nowMs() + afterMs, this::attempt);
-            else pendingReleases--;
         }
 
         @Override
-        public void head(int status, HeaderMap headers) { }
+        public void head(int status, HeaderMap headers) {
+            silence.cancel();
+        }
 
         @Override
         public void body(ByteBuffer piece) { }
 
         @Override
         public void end() {
-            silence.cancel();
-            pendingReleases--;
             answered.run();
         }
 
