--- a/src/main/java/maplerail/Logic.java
+++ b/src/main/java/maplerail/Logic.java
@@ -68,7 +68,9 @@
     private enum Phase { READING, HOLDING, WRITING, STREAMING, DONE }
 
     /** What a timer is for; its place is the low part of the token. */
-    private enum Alarm { DEADLINE, LOOK, PINNED, OVERDUE, ASK }
+    private enum Alarm {
+        DEADLINE, LOOK, PINNED, OVERDUE, ASK
+    }
 
     /** A mean of recent samples and the weight that they still have. */
     private final class Evidence {
@@ -91,7 +93,7 @@
     }
 
     /** What is usual in a role, for one step: medians, and the mean rate of our sends to warm engines. */
-    private record Usual(double pace, double waitMs, double stream, double failures, double warmRate) { }
+    private record Usual(double pace, double waitMs, double stream, double failures, double warmRate) {}
 
     private final class Engine {
         final long id;
@@ -135,7 +137,9 @@
         boolean ended, cancelled, begun, excused;
 
         /** A reader takes prompts in turn: an answer to a later one says that this one's is lost. */
-        boolean overtaken() { return engine.role == Role.READ && sentMs < engine.answeredSentMs; }
+        boolean overtaken() {
+            return engine.role == Role.READ && sentMs < engine.answeredSentMs;
+        }
 
         Attempt(Request request, Engine engine, boolean read, double sentMs) {
             this.request = request;
@@ -180,7 +184,7 @@
         }
     }
 
-    private record Holding(Engine engine, double tokens, double atMs) { }
+    private record Holding(Engine engine, double tokens, double atMs) {}
 
     private final Settings settings;
     private final SplittableRandom random;
@@ -596,7 +600,7 @@
                 bad(engine, attempt);
                 engine.failedLast = !ended.outcome().neverRan;
             }
-            default -> { }
+            default -> {}
         }
     }
 
--- a/src/main/java/maplerail/Router.java
+++ b/src/main/java/maplerail/Router.java
@@ -23,8 +23,8 @@
 
     /** How an attempt ended, and whether that proves that it never took effect. */
     enum Outcome {
-        SERVED(false), READ(true), ERROR(false), FULL(true), STATE_GONE(true), TIMEOUT(false), UNREACHABLE(true),
-        RESET(false), CANCELLED(false), NOT_SENT(true);
+        SERVED(false), READ(true), ERROR(false), FULL(true), STATE_GONE(true), TIMEOUT(false), UNREACHABLE(true), RESET(
+                false), CANCELLED(false), NOT_SENT(true);
 
         /** True where the attempt is known to have had no effect. */
         public final boolean neverRan;
@@ -38,40 +38,42 @@
     enum State { READY, DRAINING, GONE }
 
     /** What a list event holds: changes, the whole list, the last list of an earlier life, or a failure. */
-    enum ListKind { CHANGES, WHOLE, REMEMBERED, FAILED }
+    enum ListKind {
+        CHANGES, WHOLE, REMEMBERED, FAILED
+    }
 
     /** An engine as listed; {@code startedMs} is 0 if it started long ago. */
-    record Member(long engine, State state, double startedMs, int zone, int cell, double scale, int kind) { }
+    record Member(long engine, State state, double startedMs, int zone, int cell, double scale, int kind) {}
 
     /** A load report; a value that is not told is NaN. */
-    record Load(double memoryShare) { }
+    record Load(double memoryShare) {}
 
     /** Something that happened. */
-    sealed interface Event permits Members, Arrival, FirstToken, Ended, Abandoned, Timer { }
+    sealed interface Event permits Members, Arrival, FirstToken, Ended, Abandoned, Timer {}
 
     /** News of which engines there are. */
-    record Members(ListKind kind, long version, List<Member> members) implements Event { }
+    record Members(ListKind kind, long version, List<Member> members) implements Event {}
 
     /** The node has taken a request. {@code session} and {@code prefix} are 0 for none, {@code hintMs} for no hint. */
     record Arrival(long id, int kind, int tenant, long session, double promptTokens, long prefix,
             double prefixTokens, double budgetMs, double maxOutput, double hintMs, boolean resumed)
-            implements Event { }
+            implements Event {}
 
     /** A stream has begun. */
-    record FirstToken(long id, int attempt, long engine, double spentMs) implements Event { }
+    record FirstToken(long id, int attempt, long engine, double spentMs) implements Event {}
 
     /** An attempt is over; {@code kept} is the part of the prompt that needed no reading. */
     record Ended(long id, int attempt, long engine, Outcome outcome, double spentMs, double kept, boolean closed,
-            Load load) implements Event { }
+            Load load) implements Event {}
 
     /** Nobody waits for the request any more. */
-    record Abandoned(long id) implements Event { }
+    record Abandoned(long id) implements Event {}
 
     /** The time asked for by {@link SetTimer} has come. */
-    record Timer(long token) implements Event { }
+    record Timer(long token) implements Event {}
 
     /** Something to do. */
-    sealed interface Action permits Send, Cancel, Release, Refuse, Fail, SetTimer, Subscribe, FetchList, Log { }
+    sealed interface Action permits Send, Cancel, Release, Refuse, Fail, SetTimer, Subscribe, FetchList, Log {}
 
     /**
      * Make an attempt, which times out at {@code untilMs} and must not begin after {@code startByMs}; attempts of a
@@ -85,51 +87,51 @@
     }
 
     /** Call an attempt off. */
-    record Cancel(long id, int attempt) implements Action { }
+    record Cancel(long id, int attempt) implements Action {}
 
     /** Let go of what engines hold for the request and no attempt waits for. */
-    record Release(long id) implements Action { }
+    record Release(long id) implements Action {}
 
     /** End the request; the client may safely come again, after {@code retryAfterMs} if that is above 0. */
-    record Refuse(long id, double retryAfterMs) implements Action { }
+    record Refuse(long id, double retryAfterMs) implements Action {}
 
     /** End the request with an error that promises nothing. */
-    record Fail(long id) implements Action { }
+    record Fail(long id) implements Action {}
 
     /** Ask for a {@link Timer} event at a time. */
-    record SetTimer(long token, double atMs) implements Action { }
+    record SetTimer(long token, double atMs) implements Action {}
 
     /** Open the standing subscription to the list. */
-    record Subscribe() implements Action { }
+    record Subscribe() implements Action {}
 
     /** Ask once for the whole list. */
-    record FetchList() implements Action { }
+    record FetchList() implements Action {}
 
     /** A line for the operators. */
-    record Log(String text) implements Action { }
+    record Log(String text) implements Action {}
 
     /** A class of requests. */
     record RequestClass(double aimMs, double aimMsPerToken, double deadlineMs, double tokenAimMs, double worth,
-            double lateShare, Repeat repeat, Scope scope, double keyTtlMs) { }
+            double lateShare, Repeat repeat, Scope scope, double keyTtlMs) {}
 
     /** A tenant and the requests a second, over all nodes, that are within its share; 0 for no limit. */
-    record Tenant(double quotaPerSecond) { }
+    record Tenant(double quotaPerSecond) {}
 
     /** A kind of engine. */
-    record Kind(Role role, double memoryTokens) { }
+    record Kind(Role role, double memoryTokens) {}
 
     /** What the deployment allows. */
     record Limits(int maxAttempts, boolean cancel, boolean secondCopies, boolean retryAfter, double maxRetryAfterMs,
-            boolean writersRead) { }
+            boolean writersRead) {}
 
     /** The figures of the rules that the module has to keep. */
     record Rules(double answerSlackMs, double pinLimitMs, double startCapacity, double tipMultiple,
-            double tipWindowMs, double warmAfterMs, double askWithinMs) { }
+            double tipWindowMs, double warmAfterMs, double askWithinMs) {}
 
     /**
      * What the module is told at the start of its life. All its draws come from {@code seed}, which should differ
      * from node to node. An {@code overShareWorth} of 1 makes shares idle.
      */
     record Settings(long seed, int routers, int zone, double tickMs, boolean askForList, double overShareWorth,
-            List<RequestClass> classes, List<Tenant> tenants, List<Kind> kinds, Limits limits, Rules rules) { }
+            List<RequestClass> classes, List<Tenant> tenants, List<Kind> kinds, Limits limits, Rules rules) {}
 }
--- a/src/main/java/maplerail/cli/Gateway.java
+++ b/src/main/java/maplerail/cli/Gateway.java
@@ -99,7 +99,8 @@
         front = new PlatformFront(broker, config.names(), lifecycle, loop, longestDeadlineMs);
         watch = new PlatformWatch(pool, loop, config.discovery(), config.names(), settings.routers(),
                 settings.seed(), this::hear);
-        tools = on ? new ToolServices(toolsConfig, loop, buffers, settings.seed(), sockets * TOOLS_PERCENT / 100) : null;
+        tools = on ? new ToolServices(toolsConfig, loop, buffers, settings.seed(), sockets * TOOLS_PERCENT / 100)
+                : null;
         rpc = on ? new RpcFront(toolsConfig, tools.brokers(), broker, config.names(), lifecycle) : null;
         rpcListen = on ? toolsConfig.listen() : null;
     }
@@ -152,7 +153,8 @@
     }
 
     /** Past the high water nothing is accepted: what waits there costs no descriptor, and engines stay in reach. */
-    private AcceptingChannel<?> listen(InetSocketAddress at, HttpHandler handler, int percent, Consumer<ClientListener> through)
+    private AcceptingChannel<?> listen(InetSocketAddress at, HttpHandler handler, int percent,
+            Consumer<ClientListener> through)
             throws IOException {
         HttpOpenListener http = new HttpOpenListener(buffers, OptionMap.builder()
                 .set(UndertowOptions.ALWAYS_SET_DATE, false).set(UndertowOptions.MAX_HEADER_SIZE, MOST_HEAD)
--- a/src/main/java/maplerail/cli/Hangup.java
+++ b/src/main/java/maplerail/cli/Hangup.java
@@ -11,7 +11,7 @@
 final class Hangup {
     private static final Logger LOG = LoggerFactory.getLogger(Hangup.class);
 
-    private Hangup() { }
+    private Hangup() {}
 
     /** Runs a task, on a thread of its own, at each SIGHUP from now on. */
     static void then(Runnable task) {
--- a/src/main/java/maplerail/cli/Main.java
+++ b/src/main/java/maplerail/cli/Main.java
@@ -39,7 +39,7 @@
               help           print this
             """;
 
-    private Main() { }
+    private Main() {}
 
     /** Runs a command and exits with its status: 0 done, 1 failed, 2 bad usage or configuration. */
     public static void main(String[] args) throws Exception {
--- a/src/main/java/maplerail/cli/Rehearsal.java
+++ b/src/main/java/maplerail/cli/Rehearsal.java
@@ -21,7 +21,7 @@
     private static final String BODY = "{\"stream\":true}";
     private static final int ROUNDS = 5;
 
-    private Rehearsal() { }
+    private Rehearsal() {}
 
     static void run() throws IOException, InterruptedException {
         try (ServerSocket engine = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
--- a/src/main/java/maplerail/config/Address.java
+++ b/src/main/java/maplerail/config/Address.java
@@ -6,7 +6,7 @@
 
 /** Reads addresses of the form {@code 127.0.0.1:8080}; names are not looked up, as there is no DNS. */
 public final class Address {
-    private Address() { }
+    private Address() {}
 
     /** The address that a text holds, or null if it holds none. */
     public static InetSocketAddress parse(String text) {
--- a/src/main/java/maplerail/config/EngineIds.java
+++ b/src/main/java/maplerail/config/EngineIds.java
@@ -4,7 +4,7 @@
 
 /** Numbers for names. They derive from the name alone, so that all gateways agree on them. */
 public final class EngineIds {
-    private EngineIds() { }
+    private EngineIds() {}
 
     /** An engine's number: 48 bits, never 0. Its address has no part in it: that may differ between gateways. */
     public static long of(String host) {
--- a/src/main/java/maplerail/config/Json.java
+++ b/src/main/java/maplerail/config/Json.java
@@ -12,7 +12,7 @@
 public final class Json {
     private static final JsonFactory FACTORY = new JsonFactory();
 
-    private Json() { }
+    private Json() {}
 
     /** The fields of an object, each as the text that stands there; null if the text is no single object. */
     public static Map<String, String> fields(String text) {
--- a/src/main/java/maplerail/config/NodeConfig.java
+++ b/src/main/java/maplerail/config/NodeConfig.java
@@ -12,7 +12,7 @@
     private static final int LEAST_SOCKETS = 128;
 
     /** Figures for the connections; {@code sockets} is the most descriptors that the program may hold. */
-    public record Wire(double connIdleMs, double connectTimeoutMs, int maxOpen, boolean retryAfter, int sockets) { }
+    public record Wire(double connIdleMs, double connectTimeoutMs, int maxOpen, boolean retryAfter, int sockets) {}
 
     /** Reads the configuration's text; the environment's addresses come first where it has them. */
     public static NodeConfig read(String text, Map<String, String> environment) {
--- a/src/main/java/maplerail/config/SettingsReader.java
+++ b/src/main/java/maplerail/config/SettingsReader.java
@@ -6,10 +6,10 @@
 
 /** Turns the start-up settings into {@link Router.Settings}. */
 public final class SettingsReader {
-    private SettingsReader() { }
+    private SettingsReader() {}
 
     /** The settings, and the place of the memory share in a load report (-1: not reported). */
-    public record Parsed(Router.Settings settings, int memoryColumn) { }
+    public record Parsed(Router.Settings settings, int memoryColumn) {}
 
     /** Reads the text of the settings. */
     public static Parsed read(long seed, String text) {
--- a/src/main/java/maplerail/config/ToolsConfig.java
+++ b/src/main/java/maplerail/config/ToolsConfig.java
@@ -14,16 +14,16 @@
         Map<String, Service> services, List<Contract> contracts, Map<String, Tool> tools, List<Team> teams) {
 
     /** Tool servers of one kind, found through Consul or listed. */
-    public record Service(String path, List<InetSocketAddress> servers) { }
+    public record Service(String path, List<InetSocketAddress> servers) {}
 
     /** What is promised and asked for calls of a class. */
-    public record Contract(String name, Router.Repeat repeat, double deadlineMs, int mostArgument, int mostReply) { }
+    public record Contract(String name, Router.Repeat repeat, double deadlineMs, int mostArgument, int mostReply) {}
 
     /** A tool: which service has it, and the place of its contract. */
-    public record Tool(String service, int contract) { }
+    public record Tool(String service, int contract) {}
 
     /** A team, and what it may spend. */
-    public record Team(String name, Budgets.Budget budget) { }
+    public record Team(String name, Budgets.Budget budget) {}
 
     /** Reads the file's text. */
     public static ToolsConfig read(String text) {
--- a/src/main/java/maplerail/core/Ask.java
+++ b/src/main/java/maplerail/core/Ask.java
@@ -6,4 +6,4 @@
  */
 public record Ask(String id, int kind, int tenant, long session, double promptTokens, long prefix,
         double prefixTokens, double budgetMs, double maxOutput, double hintMs, boolean resumed, int size,
-        Payload payload) { }
+        Payload payload) {}
--- a/src/main/java/maplerail/core/Book.java
+++ b/src/main/java/maplerail/core/Book.java
@@ -73,7 +73,7 @@
     private void letGo(Entry entry, long engine) {
         entry.mayHold.remove(engine);
         entry.holds.remove(engine);
-        engines.release(engine, entry.ask.id(), loop.nowMs() + TRIED_LIMITS * pinLimitMs, () -> { });
+        engines.release(engine, entry.ask.id(), loop.nowMs() + TRIED_LIMITS * pinLimitMs, () -> {});
         // Guards against a release that overtakes the end of a connection, and against a reader that goes on reading
         // though nobody waits: the state that it leaves then is held like any other, also when the request has gone on
         // elsewhere and ends long after the cut.
@@ -82,7 +82,7 @@
             loop.at(at, () -> {
                 boolean inUse = entry.outAt(engine) || entry.holds.contains(engine) || entry.winner != null;
                 if (!entry.answered && inUse) return;
-                engines.release(engine, entry.ask.id(), loop.nowMs() + pinLimitMs, () -> { });
+                engines.release(engine, entry.ask.id(), loop.nowMs() + pinLimitMs, () -> {});
             });
         }
     }
--- a/src/main/java/maplerail/core/Broker.java
+++ b/src/main/java/maplerail/core/Broker.java
@@ -130,10 +130,10 @@
     /** A request that was never open, or no longer is. */
     private static final class Closed implements RequestHandle {
         @Override
-        public void gone() { }
+        public void gone() {}
 
         @Override
-        public void writable() { }
+        public void writable() {}
     }
 
     private final class Open implements RequestHandle {
--- a/src/main/java/maplerail/core/Budgets.java
+++ b/src/main/java/maplerail/core/Budgets.java
@@ -10,8 +10,8 @@
     }
 
     /** The most bytes that a request of a class may carry. */
-    public record Contract(int maxBytes) { }
+    public record Contract(int maxBytes) {}
 
     /** Calls a second and calls at once that a team may make. */
-    public record Budget(double perSecond, int inFlight) { }
+    public record Budget(double perSecond, int inFlight) {}
 }
--- a/src/main/java/maplerail/core/Quotas.java
+++ b/src/main/java/maplerail/core/Quotas.java
@@ -31,7 +31,7 @@
     }
 
     /** Why a request is not admitted, and after how long it may be. */
-    record Denied(Why why, double retryAfterMs) { }
+    record Denied(Why why, double retryAfterMs) {}
 
     /** Makes the keeper of these budgets, which logs when the loop is too far behind to take anything new. */
     public Quotas(Budgets budgets, Loop loop, Consumer<String> log) {
--- a/src/main/java/maplerail/front/jsonrpc/Answers.java
+++ b/src/main/java/maplerail/front/jsonrpc/Answers.java
@@ -59,7 +59,8 @@
 
     private static double figure(Tree number, double most) {
         double value = number.number();
-        if (!(value > 0 && value <= most)) throw new ConfigException(number.path() + ": not above 0 and up to " + (long) most);
+        if (!(value > 0 && value <= most))
+            throw new ConfigException(number.path() + ": not above 0 and up to " + (long) most);
         return value;
     }
 
--- a/src/main/java/maplerail/front/jsonrpc/RpcError.java
+++ b/src/main/java/maplerail/front/jsonrpc/RpcError.java
@@ -4,10 +4,8 @@
 
 /** The errors of this front: JSON-RPC's own, and server codes whose data tell refused from failed. */
 enum RpcError {
-    PARSE(-32700, "not JSON"),
-    INVALID(-32600, "not a valid request"),
-    NO_METHOD(-32601, "no such method"),
-    PARAMS(-32602, "not valid parameters"),
+    PARSE(-32700, "not JSON"), INVALID(-32600, "not a valid request"), NO_METHOD(-32601,
+            "no such method"), PARAMS(-32602, "not valid parameters"),
     /** Not run; trying again does no harm. */
     REFUSED(-32000, "refused"),
     /** It may have run. */
--- a/src/main/java/maplerail/front/jsonrpc/RpcFront.java
+++ b/src/main/java/maplerail/front/jsonrpc/RpcFront.java
@@ -35,7 +35,8 @@
     private ClientListener listener;
 
     /** Makes a front before the platform's broker and one broker for each service of tools. */
-    public RpcFront(ToolsConfig config, Map<String, Broker> services, Broker platform, Names names, Lifecycle lifecycle) {
+    public RpcFront(ToolsConfig config, Map<String, Broker> services, Broker platform, Names names,
+            Lifecycle lifecycle) {
         this.config = config;
         this.tools = new Tools(config, services);
         this.answers = new Answers(platform, names);
--- a/src/main/java/maplerail/front/jsonrpc/RpcMessage.java
+++ b/src/main/java/maplerail/front/jsonrpc/RpcMessage.java
@@ -30,7 +30,8 @@
         String method = fields.getOrDefault("method", "");
         String params = fields.getOrDefault("params", "{}");
         if (!sound) throw new Malformed(RpcError.INVALID.answer("null", "id", ""));
-        if (!"\"2.0\"".equals(fields.get("jsonrpc"))) throw new Malformed(RpcError.INVALID.answer(known, "jsonrpc", ""));
+        if (!"\"2.0\"".equals(fields.get("jsonrpc")))
+            throw new Malformed(RpcError.INVALID.answer(known, "jsonrpc", ""));
         if (!method.startsWith("\"")) throw new Malformed(RpcError.INVALID.answer(known, "method", ""));
         if (!params.startsWith("{")) {
             throw new Malformed(params.startsWith("[") ? RpcError.PARAMS.answer(known, "by name, please", "")
--- a/src/main/java/maplerail/front/jsonrpc/Session.java
+++ b/src/main/java/maplerail/front/jsonrpc/Session.java
@@ -157,7 +157,8 @@
                 case BUDGET -> RpcError.refused(id, "budget", retryAfterMs);
                 case DEADLINE -> RpcError.DEADLINE.failed(id, "deadline");
                 case OVERLOAD -> RpcError.refused(id, "overload", retryAfterMs);
-                default -> refused ? RpcError.refused(id, "overload", retryAfterMs) : RpcError.FAILED.failed(id, "engine");
+                default ->
+                    refused ? RpcError.refused(id, "overload", retryAfterMs) : RpcError.FAILED.failed(id, "engine");
             });
         }
 
--- a/src/main/java/maplerail/front/jsonrpc/ToolCaller.java
+++ b/src/main/java/maplerail/front/jsonrpc/ToolCaller.java
@@ -22,7 +22,8 @@
     public void end() {
         Map<String, String> fields = Json.fields(reply);
         String kind = fields == null ? "" : fields.containsKey("result") ? "result" : "error";
-        if (fields == null || !fields.containsKey(kind) || fields.containsKey("result") && fields.containsKey("error")) {
+        if (fields == null || !fields.containsKey(kind)
+                || fields.containsKey("result") && fields.containsKey("error")) {
             pending.finish(RpcError.FAILED.failed(pending.id, "the tool's reply is no JSON-RPC answer"));
             return;
         }
--- a/src/main/java/maplerail/front/jsonrpc/Tools.java
+++ b/src/main/java/maplerail/front/jsonrpc/Tools.java
@@ -36,7 +36,8 @@
         String arguments = Json.fields(message.params()).getOrDefault("arguments", "{}");
         ToolsConfig.Contract contract = config.contracts().get(tool.contract());
         String id = UUID.randomUUID().toString();
-        byte[] body = ("{\"jsonrpc\":\"2.0\",\"id\":" + Json.quote(id) + ",\"method\":\"tools/call\",\"params\":{\"name\":"
+        byte[] body = ("{\"jsonrpc\":\"2.0\",\"id\":" + Json.quote(id)
+                + ",\"method\":\"tools/call\",\"params\":{\"name\":"
                 + Json.quote(name) + ",\"arguments\":" + arguments + "}}").getBytes(StandardCharsets.UTF_8);
         int size = arguments.getBytes(StandardCharsets.UTF_8).length;
         Ask ask = new Ask(id, tool.contract(), team, 0, size / TOKEN_BYTES, 0, 0, contract.deadlineMs(),
--- a/src/main/java/maplerail/net/EngineClient.java
+++ b/src/main/java/maplerail/net/EngineClient.java
@@ -164,7 +164,7 @@
         }
 
         @Override
-        public void body(ByteBuffer piece) { }
+        public void body(ByteBuffer piece) {}
 
         @Override
         public void end() {
--- a/src/main/java/maplerail/net/HttpPayload.java
+++ b/src/main/java/maplerail/net/HttpPayload.java
@@ -7,4 +7,4 @@
 
 /** A client's request as it came: what passes on to an engine unchanged. */
 public record HttpPayload(HttpString method, String target, List<Map.Entry<HttpString, String>> headers, byte[] body)
-        implements Payload { }
+        implements Payload {}
--- a/src/main/java/maplerail/net/Outcomes.java
+++ b/src/main/java/maplerail/net/Outcomes.java
@@ -8,7 +8,7 @@
 final class Outcomes {
     static final HttpString DECLINED = new HttpString("Srv-Declined");
 
-    private Outcomes() { }
+    private Outcomes() {}
 
     static Outcome of(int status, HeaderMap headers) {
         boolean declined = "1".equals(headers.getFirst(DECLINED));
--- a/src/main/java/maplerail/net/Pool.java
+++ b/src/main/java/maplerail/net/Pool.java
@@ -72,7 +72,7 @@
             // Guards against a release that waits behind a crowd of reads until what it lets go counts as pinned.
             if (call.urgent()) waiting.addFirst(call);
             else waiting.addLast(call);
-            call.connecting(loop.at(loop.nowMs() + connectMs, () -> later(call)), () -> { });
+            call.connecting(loop.at(loop.nowMs() + connectMs, () -> later(call)), () -> {});
         }
         return call;
     }
--- a/src/main/java/maplerail/net/Requests.java
+++ b/src/main/java/maplerail/net/Requests.java
@@ -7,7 +7,7 @@
 
 /** Requests to a server at an address. */
 public final class Requests {
-    private Requests() { }
+    private Requests() {}
 
     /** One with its host named and nothing else. */
     public static ClientRequest to(InetSocketAddress address, HttpString method, String target) {
--- a/src/main/java/maplerail/net/XnioLoop.java
+++ b/src/main/java/maplerail/net/XnioLoop.java
@@ -35,7 +35,7 @@
             XnioExecutor.Key key = thread.executeAfter(task, millis, TimeUnit.MILLISECONDS);
             return key::remove;
         } catch (RejectedExecutionException e) {
-            return () -> { }; // the thread is stopping: nothing is to happen any more
+            return () -> {}; // the thread is stopping: nothing is to happen any more
         }
     }
 
--- a/src/main/java/maplerail/sim/Adapter.java
+++ b/src/main/java/maplerail/sim/Adapter.java
@@ -9,7 +9,7 @@
 
 /** Decides on the simulator's wire. */
 public final class Adapter {
-    private Adapter() { }
+    private Adapter() {}
 
     /** Answers batches until the input ends: 0 at its end, 1 for input that cannot be read. */
     public static int run(InputStream in, OutputStream out, PrintStream errors) {
--- a/src/main/java/maplerail/sim/Codec.java
+++ b/src/main/java/maplerail/sim/Codec.java
@@ -23,7 +23,7 @@
     static final int LAUNCH = 1000;
     static final int SHUTDOWN = 1090;
 
-    private Codec() { }
+    private Codec() {}
 
     /** A batch as it came: its clock and its records and tail. */
     static final class Batch {
--- a/src/main/java/maplerail/sim/Host.java
+++ b/src/main/java/maplerail/sim/Host.java
@@ -15,7 +15,7 @@
     private final Map<Integer, Node> nodes = new HashMap<>();
     private final Function<Router.Settings, Router> modules;
 
-    private record Node(Router router, int memoryColumn) { }
+    private record Node(Router router, int memoryColumn) {}
 
     Host(Function<Router.Settings, Router> modules) {
         this.modules = modules;
--- a/src/test/java/maplerail/ArchitectureTest.java
+++ b/src/test/java/maplerail/ArchitectureTest.java
@@ -35,7 +35,8 @@
         ArchRuleDefinition.noClasses().that().haveNameMatching("maplerail\\.Logic.*")
                 .should().dependOnClassesThat().resideInAnyPackage("java.io..", "java.nio..", "java.net..",
                         "java.time..", "java.util.concurrent..")
-                .orShould().callMethod(System.class, "nanoTime").orShould().callMethod(System.class, "currentTimeMillis")
+                .orShould().callMethod(System.class, "nanoTime").orShould()
+                .callMethod(System.class, "currentTimeMillis")
                 .orShould().callMethod(Object.class, "hashCode").orShould().callMethod(System.class,
                         "identityHashCode", Object.class)
                 .orShould().dependOnClassesThat().belongToAnyOf(Thread.class, java.util.Random.class,
@@ -48,7 +49,8 @@
         ArchRuleDefinition.noClasses().that().resideInAPackage("maplerail.core..").should().dependOnClassesThat()
                 .resideInAnyPackage("io.undertow..", "org.xnio..", "com.fasterxml..", "java.net..", "java.nio..",
                         "maplerail.net..", "maplerail.front..", "maplerail.discovery..", "maplerail.config..",
-                        "maplerail.cli..", "maplerail.sim..").check(classes);
+                        "maplerail.cli..", "maplerail.sim..")
+                .check(classes);
     }
 
     @Test
--- a/src/test/java/maplerail/LogicTest.java
+++ b/src/test/java/maplerail/LogicTest.java
@@ -91,7 +91,8 @@
             Node node = new Node();
             node.seed = seed;
             node.routers = 100;
-            node.start(LongStream.rangeClosed(1, 17).mapToObj(i -> i < 17 ? reader(i) : writer(i)).toArray(Member[]::new));
+            node.start(
+                    LongStream.rangeClosed(1, 17).mapToObj(i -> i < 17 ? reader(i) : writer(i)).toArray(Member[]::new));
             node.arrive(1, 1_000 + seed, 77, tokens, 5_000);
             homes.add(node.sent().engine());
         }
--- a/src/test/java/maplerail/cli/DrainTest.java
+++ b/src/test/java/maplerail/cli/DrainTest.java
@@ -25,8 +25,10 @@
             x.stream();
             x.chunk("data: 1\n\n");
             streams.add(x);
-        }); World world = new World().engine("r", "prefill", reader).engine("w", "decode", writer).start();
-                Socket before = world.connect(); Socket after = world.connect()) {
+        });
+                World world = new World().engine("r", "prefill", reader).engine("w", "decode", writer).start();
+                Socket before = world.connect();
+                Socket after = world.connect()) {
             send(before, request("a1", "lookup", "5.0"));
             StandIn.Exchange first = take(streams);
             world.gateway.drain();
@@ -51,7 +53,8 @@
             x.stream();
             x.chunk("data: 1\n\n");
             streams.add(x);
-        }); World world = new World().engine("r", "prefill", reader).engine("w", "decode", writer).start();
+        });
+                World world = new World().engine("r", "prefill", reader).engine("w", "decode", writer).start();
                 Socket client = world.connect()) {
             send(client, request("a1", "lookup", "5.0"));
             StandIn.Exchange first = take(streams);
@@ -74,7 +77,8 @@
         try (StandIn reader = World.reader(); StandIn writer = new StandIn(x -> {
             x.stream();
             streams.add(x);
-        }); World world = new World().engine("r", "prefill", reader).engine("w", "decode", writer).start();
+        });
+                World world = new World().engine("r", "prefill", reader).engine("w", "decode", writer).start();
                 Socket client = world.connect()) {
             world.gateway.drain();
             await("draining", () -> world.gateway.phase() == Phase.DRAINING);
--- a/src/test/java/maplerail/cli/JarIT.java
+++ b/src/test/java/maplerail/cli/JarIT.java
@@ -75,7 +75,8 @@
                 await("listening", () -> port() > 0);
                 int port = port();
                 await("ready", () -> say(port, "GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n").startsWith("HTTP/1.1 200"));
-                assertThat(System.nanoTime() - startNanos).as("until a restarted one is back").isLessThan(10_000_000_000L);
+                assertThat(System.nanoTime() - startNanos).as("until a restarted one is back")
+                        .isLessThan(10_000_000_000L);
                 try (Socket client = new Socket("127.0.0.1", port)) {
                     client.getOutputStream().write(World.request("a1", "lookup", "5.0")
                             .getBytes(StandardCharsets.UTF_8));
@@ -103,27 +104,33 @@
             x.chunk("data: 1\n\n");
             streams.add(x);
         };
-        try (StandIn reader = World.reader(); StandIn writer = new StandIn(begin); StandIn other = new StandIn(begin);
+        try (StandIn reader = World.reader();
+                StandIn writer = new StandIn(begin);
+                StandIn other = new StandIn(begin);
                 World world = new World().engine("r", "prefill", reader).engine("w", "decode", writer);
                 World next = new World().engine("r", "prefill", reader).engine("w2", "decode", other)) {
             Path config = folder.resolve("config.json");
             Files.writeString(config, world.config("127.0.0.1:0"));
-            Process gateway = start("RELAY_DISCOVERY=" + world.discovery().address() + " " + line("run"), config.toString());
+            Process gateway = start("RELAY_DISCOVERY=" + world.discovery().address() + " " + line("run"),
+                    config.toString());
             try {
                 await("listening", () -> port() > 0);
                 try (Socket client = new Socket("127.0.0.1", port())) {
-                    client.getOutputStream().write(World.request("a1", "lookup", "5.0").getBytes(StandardCharsets.UTF_8));
+                    client.getOutputStream()
+                            .write(World.request("a1", "lookup", "5.0").getBytes(StandardCharsets.UTF_8));
                     StandIn.Exchange stream = World.take(streams);
                     for (String text : List.of("{", "{\"settings\":{}}", next.config("127.0.0.1:0"))) {
                         Files.writeString(config, text);
                         assertThat(new ProcessBuilder("kill", "-HUP", "" + gateway.pid()).start().waitFor()).isZero();
-                        if (text.startsWith("{\"s")) await("named", () -> log().contains("config.settings.lanes: missing"));
+                        if (text.startsWith("{\"s"))
+                            await("named", () -> log().contains("config.settings.lanes: missing"));
                     }
                     await("moved", () -> log().contains("discovery is at"));
                     await("watched", () -> next.discovery().count("GET /api/targets?index=") > 0);
                     stream.chunk("data: [DONE]\n\n");
                     stream.last();
-                    client.getOutputStream().write(World.request("a2", "lookup", "5.0").getBytes(StandardCharsets.UTF_8));
+                    client.getOutputStream()
+                            .write(World.request("a2", "lookup", "5.0").getBytes(StandardCharsets.UTF_8));
                     await("the new list holds", () -> other.count("POST") == 1);
                     gateway.destroy();
                     stream = World.take(streams);
@@ -148,8 +155,10 @@
 
     @Test
     void theBuildRecordsTheClassesFromWhichTheProgramStarts() throws Exception {
-        Process version = start(line("run").replaceFirst("-XX:SharedArchiveFile", "-Xshare:on $0").replace("-Xshare:auto", "")
-                .replaceFirst("serve$", "version"), null);
+        Process version = start(
+                line("run").replaceFirst("-XX:SharedArchiveFile", "-Xshare:on $0").replace("-Xshare:auto", "")
+                        .replaceFirst("serve$", "version"),
+                null);
         assertThat(version.waitFor()).isZero();
     }
 
--- a/src/test/java/maplerail/cli/MainTest.java
+++ b/src/test/java/maplerail/cli/MainTest.java
@@ -30,7 +30,7 @@
 
     @ParameterizedTest
     @CsvSource({"help,0,usage:", "version,0,maplerail", "'',2,usage:", "dance,2,usage:", "serve now,2,now",
-        "serve --port 1,2,--port", "serve,2,RELAY_CONFIG", "check-config --config no/such/file,2,no/such/file"})
+            "serve --port 1,2,--port", "serve,2,RELAY_CONFIG", "check-config --config no/such/file,2,no/such/file"})
     void usageIsSaid(String line, int status, String said) throws Exception {
         assertThat(run(Map.of(), line.isEmpty() ? new String[0] : line.split(" "))).isEqualTo(status);
         assertThat(printed).contains(said);
--- a/src/test/java/maplerail/core/BrokerTest.java
+++ b/src/test/java/maplerail/core/BrokerTest.java
@@ -38,7 +38,7 @@
     private boolean ready = true;
     private boolean unsent;
     private boolean left;
-    private Runnable whenAborted = () -> { };
+    private Runnable whenAborted = () -> {};
     private boolean broken;
     private Broker broker;
 
@@ -46,7 +46,7 @@
         double now = 1_000;
         private final PriorityQueue<Due> due = new PriorityQueue<>((a, b) -> Double.compare(a.at, b.at));
 
-        private record Due(double at, Runnable task) { }
+        private record Due(double at, Runnable task) {}
 
         @Override
         public double nowMs() {
@@ -138,7 +138,7 @@
                 releasedForMs = untilMs - loop.now;
             }
         };
-        broker = new Broker(router, settings, new Quotas(Budgets.open(3), loop, line -> { }), loop, engines, line -> { });
+        broker = new Broker(router, settings, new Quotas(Budgets.open(3), loop, line -> {}), loop, engines, line -> {});
         list(State.READY);
         told.clear();
     }
@@ -422,7 +422,8 @@
         act(new Router.Fail(1), new Cancel(1, 1));
         released.clear();
         loop.until(60_000);
-        assertThat(released.stream().filter("1/a"::equals).count()).as("600 ms after the cut").isGreaterThanOrEqualTo(2);
+        assertThat(released.stream().filter("1/a"::equals).count()).as("600 ms after the cut")
+                .isGreaterThanOrEqualTo(2);
     }
 
     /** What is held goes with the first token, but the first reader may end its read after that. */
@@ -519,7 +520,7 @@
 
     @Test
     void aTeamsRateComesBackWithTime() {
-        Quotas quotas = new Quotas(new Budgets(9, List.of(), List.of(new Budgets.Budget(2, 9))), loop, line -> { });
+        Quotas quotas = new Quotas(new Budgets(9, List.of(), List.of(new Budgets.Budget(2, 9))), loop, line -> {});
         Ask ask = new Ask("a", 0, 0, 0, 0, 0, 0, 1, 0, 0, false, 0, null);
         assertThat(quotas.check(ask)).isNull();
         assertThat(quotas.check(ask)).isNull();
--- a/src/test/java/maplerail/core/LifecycleTest.java
+++ b/src/test/java/maplerail/core/LifecycleTest.java
@@ -9,9 +9,11 @@
 
 class LifecycleTest {
     @ParameterizedTest
-    @CsvSource({"READY,true", "READY READY,false", "DRAINING,true", "READY DRAINING STOPPED,true", "READY STOPPED,false",
-        "DRAINING READY,false", "READY DRAINING FINISHING STOPPED,true", "READY FINISHING,false",
-        "DRAINING FINISHING DRAINING,false", "STOPPED,true", "STOPPED STARTING,false", "DRAINING STOPPED DRAINING,false"})
+    @CsvSource({"READY,true", "READY READY,false", "DRAINING,true", "READY DRAINING STOPPED,true",
+            "READY STOPPED,false",
+            "DRAINING READY,false", "READY DRAINING FINISHING STOPPED,true", "READY FINISHING,false",
+            "DRAINING FINISHING DRAINING,false", "STOPPED,true", "STOPPED STARTING,false",
+            "DRAINING STOPPED DRAINING,false"})
     void onlyLegalMovesAreMade(String moves, boolean legal) {
         Lifecycle lifecycle = new Lifecycle();
         Runnable all = () -> {
--- a/src/test/java/maplerail/discovery/ConsulTest.java
+++ b/src/test/java/maplerail/discovery/ConsulTest.java
@@ -21,7 +21,7 @@
 
     @ParameterizedTest
     @CsvSource({"passing,passing,READY", "passing,warning,READY", "passing,critical,DRAINING",
-        "maintenance,passing,DRAINING", "passing,unheard,DRAINING"})
+            "maintenance,passing,DRAINING", "passing,unheard,DRAINING"})
     void aServerIsCalledWhileNoCheckIsCritical(String one, String two, State state) {
         EngineList list = ConsulWatch.read(Tree.any("health", """
                 [{"Node":{"Node":"n","Address":"127.0.0.9"},"Service":{"ID":"r1","Address":"","Port":80},
--- a/src/test/java/maplerail/discovery/PlatformWatchTest.java
+++ b/src/test/java/maplerail/discovery/PlatformWatchTest.java
@@ -23,7 +23,8 @@
     @Test
     void aWatchThatIsTurnedAwayGoesOnFromWhatWasToldAndBacksOff() throws Exception {
         List<Long> atNanos = new CopyOnWriteArrayList<>();
-        try (StandIn reader = World.reader(); StandIn writer = World.writer();
+        try (StandIn reader = World.reader();
+                StandIn writer = World.writer();
                 StandIn agent = new StandIn(x -> {
                     atNanos.add(System.nanoTime());
                     if (atNanos.size() > 1) x.reply(503, "overloaded");
@@ -42,7 +43,8 @@
     @Test
     void aListThatCannotBeReadChangesNothingAndIsAskedForAgain() throws Exception {
         AtomicInteger asked = new AtomicInteger();
-        try (StandIn reader = World.reader(); StandIn writer = World.writer();
+        try (StandIn reader = World.reader();
+                StandIn writer = World.writer();
                 StandIn agent = new StandIn(x -> {
                     switch (asked.incrementAndGet()) {
                         case 1 -> x.reply(200, "{\"seq\":7,\"whole\":true,\"hosts\":");
@@ -65,7 +67,8 @@
     @Test
     void aCallThatFallsSilentIsFollowedByAnotherWithinTheTimeToBeTold() throws Exception {
         List<Long> atNanos = new CopyOnWriteArrayList<>();
-        try (StandIn reader = World.reader(); StandIn writer = World.writer();
+        try (StandIn reader = World.reader();
+                StandIn writer = World.writer();
                 StandIn agent = new StandIn(x -> {
                     atNanos.add(System.nanoTime());
                     if (atNanos.size() > 1) x.awaitEnd();
@@ -82,7 +85,8 @@
     /** All nodes restart at once in a release, and each whole list takes an overloaded discovery's time. */
     @Test
     void aNodeGoesOnFromTheListThatItKnows() throws Exception {
-        try (StandIn reader = World.reader(); StandIn writer = World.writer();
+        try (StandIn reader = World.reader();
+                StandIn writer = World.writer();
                 World world = new World().engine("r", "prefill", reader).engine("w", "decode", writer)) {
             world.start();
             await("asked", () -> world.discovery().seen.size() > 0);
@@ -94,7 +98,9 @@
     @Test
     void aNodeIsNotReadyOnAnOldListBeforeItsAgentHasSaidWhatChanged() throws Exception {
         BlockingQueue<StandIn.Exchange> first = World.queue();
-        try (StandIn reader = World.reader(); StandIn writer = World.writer(); StandIn other = World.writer();
+        try (StandIn reader = World.reader();
+                StandIn writer = World.writer();
+                StandIn other = World.writer();
                 StandIn agent = new StandIn(x -> {
                     if (x.target.endsWith("wait=0")) first.add(x);
                     else x.awaitEnd();
@@ -126,13 +132,15 @@
     @Test
     void aListOlderThanOursIsNotBelievedAfterAMove() throws Exception {
         AtomicInteger asked = new AtomicInteger();
-        try (StandIn reader = World.reader(); StandIn writer = World.writer(); StandIn other = World.writer();
+        try (StandIn reader = World.reader();
+                StandIn writer = World.writer();
+                StandIn other = World.writer();
                 World world = new World().engine("r", "prefill", reader).engine("w1", "decode", writer, "terminating")
                         .engine("w2", "decode", other);
                 StandIn agent = new StandIn(x -> x.reply(200, asked.incrementAndGet() > 3
                         ? "{\"seq\":9,\"whole\":false,\"hosts\":[]}"
                         : "{\"seq\":1,\"whole\":true,\"hosts\":[{\"host\":\"w1\",\"dial\":\"" + writer.address()
-                        + "\",\"site\":\"caerdydd\",\"class\":\"decode\",\"block\":1,\"health\":\"in_service\"}]}"));
+                                + "\",\"site\":\"caerdydd\",\"class\":\"decode\",\"block\":1,\"health\":\"in_service\"}]}"));
                 World moved = new World().discoveredBy(agent)) {
             world.start();
             await("the first list heard", () -> world.discovery().count("GET /api/targets?index=") > 0);
--- a/src/test/java/maplerail/front/ClientListenerTest.java
+++ b/src/test/java/maplerail/front/ClientListenerTest.java
@@ -48,8 +48,10 @@
             streams.add(x);
         });
                 World world = new World().engine("r", "prefill", reader).engine("w", "decode", writer).start();
-                Socket waiting = send(world, whole); Socket silent = send(world, "");
-                Socket half = send(world, "POST / HTTP/1.1\r\nReq-"); Socket halfBody = send(world,
+                Socket waiting = send(world, whole);
+                Socket silent = send(world, "");
+                Socket half = send(world, "POST / HTTP/1.1\r\nReq-");
+                Socket halfBody = send(world,
                         whole.substring(0, whole.length() - 3))) {
             StandIn.Exchange open = take(streams);
             assertThat(silent.getInputStream().read()).isNegative();
@@ -67,7 +69,8 @@
     void aRequestWhoseBodyKeepsComingIsServed() throws Exception {
         String whole = request("a1", "lookup", "60").replaceFirst("\r\n", "\r\nConnection: close\r\n");
         int body = whole.indexOf("\r\n\r\n") + 4;
-        try (StandIn reader = World.reader(); StandIn writer = World.writer();
+        try (StandIn reader = World.reader();
+                StandIn writer = World.writer();
                 World world = new World().engine("r", "prefill", reader).engine("w", "decode", writer).start();
                 Socket client = send(world, whole.substring(0, body))) {
             for (int i = body; i < whole.length(); i++) {
@@ -92,7 +95,8 @@
                 heard.add("accepted");
             }, loop, 0);
             AcceptingChannel<StreamConnection> server = worker.createStreamConnectionServer(
-                    new InetSocketAddress("127.0.0.1", 0), ChannelListeners.openListenerAdapter(listener), OptionMap.EMPTY);
+                    new InetSocketAddress("127.0.0.1", 0), ChannelListeners.openListenerAdapter(listener),
+                    OptionMap.EMPTY);
             server.resumeAccepts();
             InetSocketAddress at = server.getLocalAddress(InetSocketAddress.class);
             CountDownLatch written = new CountDownLatch(1);
@@ -126,7 +130,9 @@
     void idleClientsLeaveRoomForRequestsEnginesAndDiscovery() throws Exception {
         List<Socket> idle = new ArrayList<>();
         CountDownLatch back = new CountDownLatch(1);
-        try (StandIn reader = World.reader(); StandIn writer = World.writer(); StandIn other = World.writer();
+        try (StandIn reader = World.reader();
+                StandIn writer = World.writer();
+                StandIn other = World.writer();
                 StandIn agent = new StandIn(x -> {
                     back.await();
                     x.reply(200, "{\"seq\":9,\"whole\":false,\"hosts\":[{\"host\":\"w1\",\"dial\":\"" + writer.address()
--- a/src/test/java/maplerail/front/ConsulStandIn.java
+++ b/src/test/java/maplerail/front/ConsulStandIn.java
@@ -38,7 +38,8 @@
         while (known == index) wait();
         List<String> entries = new ArrayList<>();
         for (int i = 0; i < tools.length; i++) {
-            entries.add("{\"Node\":{\"Node\":\"n" + i + "\",\"Address\":\"127.0.0.1\"},\"Service\":{\"ID\":\"records-" + i
+            entries.add("{\"Node\":{\"Node\":\"n" + i + "\",\"Address\":\"127.0.0.1\"},\"Service\":{\"ID\":\"records-"
+                    + i
                     + "\",\"Service\":\"records\",\"Address\":\"\",\"Port\":" + tools[i].socketAddress().getPort()
                     + "},\"Checks\":[{\"Status\":\"passing\"},{\"Status\":\"" + states.get(i) + "\"}]}");
         }
--- a/src/test/java/maplerail/front/MalformedRequestTest.java
+++ b/src/test/java/maplerail/front/MalformedRequestTest.java
@@ -33,21 +33,22 @@
     /** What stands in place of the header that tells the body's length. */
     @ParameterizedTest
     @ValueSource(strings = {
-        "Content-Length: 15\r\nTransfer-Encoding: chunked\r\n",
-        "Transfer-Encoding: chunked\r\nContent-Length: 15\r\n",
-        "Content-Length: -15\r\n",
-        "Content-Length: fifteen\r\n",
-        "Content-Length: 15, 15\r\n",
-        "Content-Length: 15\r\nContent-Length: 4\r\n",
-        "Content-Length: 99999999999999999999999\r\n",
-        "Content-Length: 62914560\r\n",
-        "Content-Length: 100\r\n",
-        "Transfer-Encoding: gzip\r\n",
-        "Transfer-Encoding: chunked, chunked\r\n",
-        "Transfer-Encoding: chunked\r\n",
+            "Content-Length: 15\r\nTransfer-Encoding: chunked\r\n",
+            "Transfer-Encoding: chunked\r\nContent-Length: 15\r\n",
+            "Content-Length: -15\r\n",
+            "Content-Length: fifteen\r\n",
+            "Content-Length: 15, 15\r\n",
+            "Content-Length: 15\r\nContent-Length: 4\r\n",
+            "Content-Length: 99999999999999999999999\r\n",
+            "Content-Length: 62914560\r\n",
+            "Content-Length: 100\r\n",
+            "Transfer-Encoding: gzip\r\n",
+            "Transfer-Encoding: chunked, chunked\r\n",
+            "Transfer-Encoding: chunked\r\n",
     })
     void aBodyWhoseLengthCannotBeReadIsTurnedAway(String framing) throws Exception {
-        try (StandIn reader = World.reader(); StandIn writer = World.writer();
+        try (StandIn reader = World.reader();
+                StandIn writer = World.writer();
                 World world = new World().engine("r", "prefill", reader).engine("w", "decode", writer).start()) {
             long startNanos = System.nanoTime();
             String answer = send(world, request("a1", "lookup", "60").replace(LENGTH, framing));
@@ -68,7 +69,8 @@
 
     @Test
     void halfARequestAndThenACloseGoesNoFurther() throws Exception {
-        try (StandIn reader = World.reader(); StandIn writer = World.writer();
+        try (StandIn reader = World.reader();
+                StandIn writer = World.writer();
                 World world = new World().engine("r", "prefill", reader).engine("w", "decode", writer).start()) {
             String whole = request("half", "lookup", "5.0");
             for (int length : new int[] {1, 30, whole.indexOf("\r\n\r\n"), whole.length() - 1}) {
@@ -83,7 +85,8 @@
 
     @Test
     void aSoundRequestIsServedHoweverItIsCutIntoPieces() throws Exception {
-        try (StandIn reader = World.reader(); StandIn writer = World.writer();
+        try (StandIn reader = World.reader();
+                StandIn writer = World.writer();
                 World world = new World().engine("r", "prefill", reader).engine("w", "decode", writer).start();
                 Socket client = world.connect()) {
             client.setTcpNoDelay(true);
--- a/src/test/java/maplerail/front/PlatformTest.java
+++ b/src/test/java/maplerail/front/PlatformTest.java
@@ -18,7 +18,8 @@
 class PlatformTest {
     @Test
     void aRequestIsReadThenWrittenAndItsEventsPassUnchanged() throws Exception {
-        try (StandIn reader = World.reader(); StandIn writer = World.writer();
+        try (StandIn reader = World.reader();
+                StandIn writer = World.writer();
                 World world = new World().engine("r", "prefill", reader).engine("w", "decode", writer).start()) {
             String answer = world.exchange(request("a1", "lookup", "5.0"));
             assertThat(answer).startsWith("HTTP/1.1 200").contains("data: {\"a\":1}\n\n", "data: [DONE]\n\n")
@@ -56,7 +57,8 @@
     @Test
     void aBodyInChunksIsTooLargeAtTheSameLength() throws Exception {
         try (StandIn reader = World.reader();
-                World world = new World().engine("r", "prefill", reader).start(); Socket client = world.connect()) {
+                World world = new World().engine("r", "prefill", reader).start();
+                Socket client = world.connect()) {
             String head = request("a1", "lookup", "5.0").replace("Content-Length: 15", "Transfer-Encoding: chunked")
                     .replace("{\"stream\":true}", "");
             client.getOutputStream().write((head + ("10000\r\n" + "x".repeat(0x10000) + "\r\n").repeat(5) + "0\r\n\r\n")
@@ -70,7 +72,8 @@
     /** A gateway that starts anew serves from the list that it last had, though discovery says nothing. */
     @Test
     void theKnownListServesWhileDiscoveryIsSilent() throws Exception {
-        try (StandIn silent = new StandIn(StandIn.Exchange::awaitEnd); StandIn reader = World.reader();
+        try (StandIn silent = new StandIn(StandIn.Exchange::awaitEnd);
+                StandIn reader = World.reader();
                 StandIn writer = World.writer();
                 World world = new World().discoveredBy(silent).engine("r", "prefill", reader)
                         .engine("w", "decode", writer).start()) {
@@ -103,7 +106,7 @@
     /** What an engine's answer means shows in what is sent next and in the one final answer. */
     @ParameterizedTest
     @CsvSource({"full,lookup,200,2", "gone,lookup,200,2", "error,repair-order,502,1", "reset,repair-order,502,1",
-        "full,repair-order,200,2", "error,lookup,200,2", "reset,lookup,200,2"})
+            "full,repair-order,200,2", "error,lookup,200,2", "reset,lookup,200,2"})
     void outcomesDecideWhatMayBeSentAgain(String how, String kind, int status, int sends) throws Exception {
         BlockingQueue<String> first = World.queue();
         first.add(how);
@@ -121,7 +124,9 @@
                 }
             }
         };
-        try (StandIn reader = World.reader(); StandIn writer = new StandIn(handler); StandIn other = new StandIn(handler);
+        try (StandIn reader = World.reader();
+                StandIn writer = new StandIn(handler);
+                StandIn other = new StandIn(handler);
                 World world = new World().engine("r", "prefill", reader).engine("w1", "decode", writer)
                         .engine("w2", "decode", other).start()) {
             assertThat(world.exchange(request("a1", kind, "5.0"))).startsWith("HTTP/1.1 " + status);
@@ -138,7 +143,8 @@
             x.chunk("data: 1\n\ndata: hal");
             x.reset();
         };
-        try (StandIn reader = World.reader(); StandIn writer = new StandIn(handler);
+        try (StandIn reader = World.reader();
+                StandIn writer = new StandIn(handler);
                 World world = new World().engine("r", "prefill", reader).engine("w", "decode", writer).start()) {
             String answer = world.exchange(request("a1", "lookup", "5.0"));
             assertThat(answer).contains("data: 1\n\n").doesNotContain("hal").doesNotContain("\r\n0\r\n");
@@ -156,7 +162,8 @@
             x.write(end);
             x.reset();
         };
-        try (StandIn reader = World.reader(); StandIn writer = new StandIn(handler);
+        try (StandIn reader = World.reader();
+                StandIn writer = new StandIn(handler);
                 World world = new World().engine("r", "prefill", reader).engine("w", "decode", writer).start()) {
             assertThat(world.exchange(request("a1", "lookup", "5.0"))).doesNotContain("\r\n0\r\n");
         }
@@ -164,7 +171,8 @@
 
     /** The connection stays open, but nothing on it can be believed any more. */
     @ParameterizedTest
-    @ValueSource(strings = {"zz\r\n", "\r\n", "3\r\ndata: 2\n\n\r\n", "c0000000\r\ndata", "99\r\ndata: 2\n\n\r\n0\r\n\r\n"})
+    @ValueSource(strings = {"zz\r\n", "\r\n", "3\r\ndata: 2\n\n\r\n", "c0000000\r\ndata",
+            "99\r\ndata: 2\n\n\r\n0\r\n\r\n"})
     void aSpoiltStreamIsNeverWhole(String spoilt) throws Exception {
         StandIn.Handler handler = x -> {
             x.stream();
@@ -172,7 +180,8 @@
             x.write(spoilt);
             x.awaitEnd();
         };
-        try (StandIn reader = World.reader(); StandIn writer = new StandIn(handler);
+        try (StandIn reader = World.reader();
+                StandIn writer = new StandIn(handler);
                 World world = new World().engine("r", "prefill", reader).engine("w", "decode", writer).start()) {
             String answer = world.exchange(request("a1", "lookup", "5.0"));
             assertThat(answer).endsWith("data: 1\n\n\r\n").doesNotContain("data: 2").doesNotContain("\r\n0\r\n");
@@ -200,7 +209,9 @@
             if (x.method.equals("POST") && x.headers.get("req-id").startsWith("bad")) x.reply(status, "");
             else x.reply(202, "{}");
         };
-        try (StandIn reader = new StandIn(picky); StandIn other = new StandIn(picky); StandIn writer = World.writer();
+        try (StandIn reader = new StandIn(picky);
+                StandIn other = new StandIn(picky);
+                StandIn writer = World.writer();
                 World world = new World().engine("r1", "prefill", reader).engine("r2", "prefill", other)
                         .engine("w", "decode", writer).start()) {
             for (int i = 1; i <= 10; i++) {
@@ -218,7 +229,8 @@
             x.write("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\ndata: 1\n\n");
             x.reset();
         };
-        try (StandIn reader = World.reader(); StandIn writer = new StandIn(handler);
+        try (StandIn reader = World.reader();
+                StandIn writer = new StandIn(handler);
                 World world = new World().engine("r", "prefill", reader).engine("w", "decode", writer).start()) {
             assertThat(world.exchange(request("a1", "lookup", "5.0"))).doesNotContain("\r\n0\r\n");
         }
@@ -233,7 +245,8 @@
             x.awaitEnd();
             ended.add(x.headers.get("req-id"));
         };
-        try (StandIn reader = World.reader(); StandIn writer = new StandIn(silent);
+        try (StandIn reader = World.reader();
+                StandIn writer = new StandIn(silent);
                 World world = new World().engine("r", "prefill", reader).engine("w", "decode", writer).start()) {
             Socket client = world.connect();
             client.getOutputStream().write(request("a1", "repair-order", "5.0").getBytes(StandardCharsets.UTF_8));
@@ -247,7 +260,9 @@
 
     @Test
     void aDrainingEngineGetsNothingNew() throws Exception {
-        try (StandIn reader = World.reader(); StandIn writer = World.writer(); StandIn other = World.writer();
+        try (StandIn reader = World.reader();
+                StandIn writer = World.writer();
+                StandIn other = World.writer();
                 World world = new World().engine("r", "prefill", reader).engine("w1", "decode", writer)
                         .engine("w2", "decode", other).start()) {
             BlockingQueue<String> told = World.queue();
@@ -270,7 +285,8 @@
     @Test
     void whatAClientSendsEarlyIsItsNextRequest() throws Exception {
         BlockingQueue<StandIn.Exchange> streams = World.queue();
-        try (StandIn reader = World.reader(); StandIn writer = new StandIn(streams::add);
+        try (StandIn reader = World.reader();
+                StandIn writer = new StandIn(streams::add);
                 World world = new World().engine("r", "prefill", reader).engine("w", "decode", writer).start();
                 Socket client = world.connect()) {
             client.getOutputStream().write(request("a1", "lookup", "5.0").getBytes(StandardCharsets.UTF_8));
@@ -313,7 +329,8 @@
     @ParameterizedTest
     @ValueSource(ints = {40, 600})
     void manyRequestsAtOnceAreAnsweredOneAfterTheOther(int requests) throws Exception {
-        try (StandIn reader = World.reader(); StandIn writer = World.writer();
+        try (StandIn reader = World.reader();
+                StandIn writer = World.writer();
                 World world = new World().engine("r", "prefill", reader).engine("w", "decode", writer).start();
                 Socket client = world.connect()) {
             StringBuilder all = new StringBuilder();
--- a/src/test/java/maplerail/front/ToolCallTest.java
+++ b/src/test/java/maplerail/front/ToolCallTest.java
@@ -112,7 +112,8 @@
             x.stream();
             x.chunk("data: one\n\n");
             streams.add(x);
-        }); StandIn tool = new StandIn(calls::add);
+        });
+                StandIn tool = new StandIn(calls::add);
                 World world = new World().engine("r", "prefill", reader).engine("w", "decode", writer)
                         .start(tools(servers(tool), "5000", 4, 1000))) {
             Client client = Client.connect(world, "cyngor-glannau");
@@ -145,7 +146,8 @@
             x.stream();
             x.chunk("data: one\n\n");
             streams.add(x);
-        }); StandIn tool = new StandIn(calls::add);
+        });
+                StandIn tool = new StandIn(calls::add);
                 World world = new World().engine("r", "prefill", reader).engine("w", "decode", writer)
                         .start(tools(servers(tool), "5000", 4, 1000))) {
             Client client = Client.connect(world, "cyngor-glannau");
@@ -347,7 +349,8 @@
     void aServiceThatConsulMarksCriticalGetsNothingNew() throws Exception {
         AtomicInteger one = new AtomicInteger();
         AtomicInteger two = new AtomicInteger();
-        try (StandIn first = tool(one); StandIn second = tool(two);
+        try (StandIn first = tool(one);
+                StandIn second = tool(two);
                 ConsulStandIn consul = new ConsulStandIn(first, second);
                 World world = new World().start(tools("\"consul\":\"" + consul.address()
                         + "\",\"services\":{\"records\":{\"path\":\"/tool\"}},", "300", 4, 1000))) {
--- a/src/test/java/maplerail/net/AnswerReaderTest.java
+++ b/src/test/java/maplerail/net/AnswerReaderTest.java
@@ -25,10 +25,10 @@
         }
 
         @Override
-        public void end() { }
+        public void end() {}
 
         @Override
-        public void failed(boolean neverSent) { }
+        public void failed(boolean neverSent) {}
     }
 
     /** What is heard of an answer fed in pieces, and how it stands then. */
@@ -53,36 +53,36 @@
     /** Each answer, fed whole and byte by byte; ~ and ^ stand for the line's end. */
     @ParameterizedTest
     @CsvSource(delimiter = '!', textBlock = """
-        HTTP/1.1 200 OK~^Content-Length: 3~^~^abc                          ! 200:abc done
-        HTTP/1.1 200~^Content-Length: 3~^~^ab                              ! 200:ab open
-        HTTP/1.1 200 OK~^Content-Length: 1~^~^aHTTP/1.1 200 OK~^           ! 200:a done and more
-        HTTP/1.1 200 OK^Content-Length: 1^^a                               ! 200:a done
-        HTTP/1.1 200 OK~^Connection: Close~^Content-Length: 0~^~^          ! 200: done last
-        HTTP/1.0 200 OK~^Content-Length: 0~^~^                             ! 200: done last
-        HTTP/1.1 204 No~^~^                                                ! 204: done
-        HTTP/1.1 200 OK~^~^abc                                             ! 200:abc open last
-        HTTP/1.1 100 Go~^~^HTTP/1.1 103 Hint~^X: y~^~^HTTP/1.1 204 No~^~^  ! 204: done
-        HTTP/1.1 101 Switch~^~^                                            ! ' spoilt'
-        HTTP/1.1 200 OK~^Transfer-Encoding: chunked~^~^3~^abc~^0~^~^       ! 200:abc done
-        HTTP/1.1 200 OK~^Transfer-Encoding: chunked~^~^3;x=y~^abc~^0~^A: b~^~^ ! 200:abc done
-        HTTP/1.1 200 OK~^Transfer-Encoding: chunked~^~^3~^abc~^            ! 200:abc open
-        HTTP/1.1 200 OK~^Transfer-Encoding: chunked~^~^3~^abc~^5~^ab       ! 200:abc within
-        HTTP/1.1 200 OK~^Transfer-Encoding: chunked~^~^3~^abc~^zz~^        ! 200:abc spoilt
-        HTTP/1.1 200 OK~^Transfer-Encoding: chunked~^~^3~^abc~^~^          ! 200:abc spoilt
-        HTTP/1.1 200 OK~^Transfer-Encoding: chunked~^~^3~^abc~^-1~^        ! 200:abc spoilt
-        HTTP/1.1 200 OK~^Transfer-Encoding: chunked~^~^2~^abc~^0~^~^       ! 200: spoilt
-        HTTP/1.1 200 OK~^Transfer-Encoding: chunked~^~^4~^abc~^0~^~^       ! 200: spoilt
-        HTTP/1.1 200 OK~^Transfer-Encoding: chunked~^~^c0000000~^abc       ! 200: spoilt
-        HTTP/1.1 200 OK~^Transfer-Encoding: chunked~^~^10000000000000003~^abc~^ ! 200: spoilt
-        HTTP/1.1 200 OK~^Transfer-Encoding: gzip~^~^                       ! ' spoilt'
-        HTTP/1.1 200 OK~^Transfer-Encoding: chunked~^Content-Length: 3~^~^ ! ' spoilt'
-        HTTP/1.1 200 OK~^Content-Length: 3~^Content-Length: 4~^~^          ! ' spoilt'
-        HTTP/1.1 200 OK~^Content-Length: -3~^~^                            ! ' spoilt'
-        HTTP/1.1 200 OK~^no header~^~^                                     ! ' spoilt'
-        HTTP/1.1 OK~^~^                                                    ! ' spoilt'
-        noise^                                                             ! ' spoilt'
-        noise                                                              ! ' within last'
-        """)
+            HTTP/1.1 200 OK~^Content-Length: 3~^~^abc                          ! 200:abc done
+            HTTP/1.1 200~^Content-Length: 3~^~^ab                              ! 200:ab open
+            HTTP/1.1 200 OK~^Content-Length: 1~^~^aHTTP/1.1 200 OK~^           ! 200:a done and more
+            HTTP/1.1 200 OK^Content-Length: 1^^a                               ! 200:a done
+            HTTP/1.1 200 OK~^Connection: Close~^Content-Length: 0~^~^          ! 200: done last
+            HTTP/1.0 200 OK~^Content-Length: 0~^~^                             ! 200: done last
+            HTTP/1.1 204 No~^~^                                                ! 204: done
+            HTTP/1.1 200 OK~^~^abc                                             ! 200:abc open last
+            HTTP/1.1 100 Go~^~^HTTP/1.1 103 Hint~^X: y~^~^HTTP/1.1 204 No~^~^  ! 204: done
+            HTTP/1.1 101 Switch~^~^                                            ! ' spoilt'
+            HTTP/1.1 200 OK~^Transfer-Encoding: chunked~^~^3~^abc~^0~^~^       ! 200:abc done
+            HTTP/1.1 200 OK~^Transfer-Encoding: chunked~^~^3;x=y~^abc~^0~^A: b~^~^ ! 200:abc done
+            HTTP/1.1 200 OK~^Transfer-Encoding: chunked~^~^3~^abc~^            ! 200:abc open
+            HTTP/1.1 200 OK~^Transfer-Encoding: chunked~^~^3~^abc~^5~^ab       ! 200:abc within
+            HTTP/1.1 200 OK~^Transfer-Encoding: chunked~^~^3~^abc~^zz~^        ! 200:abc spoilt
+            HTTP/1.1 200 OK~^Transfer-Encoding: chunked~^~^3~^abc~^~^          ! 200:abc spoilt
+            HTTP/1.1 200 OK~^Transfer-Encoding: chunked~^~^3~^abc~^-1~^        ! 200:abc spoilt
+            HTTP/1.1 200 OK~^Transfer-Encoding: chunked~^~^2~^abc~^0~^~^       ! 200: spoilt
+            HTTP/1.1 200 OK~^Transfer-Encoding: chunked~^~^4~^abc~^0~^~^       ! 200: spoilt
+            HTTP/1.1 200 OK~^Transfer-Encoding: chunked~^~^c0000000~^abc       ! 200: spoilt
+            HTTP/1.1 200 OK~^Transfer-Encoding: chunked~^~^10000000000000003~^abc~^ ! 200: spoilt
+            HTTP/1.1 200 OK~^Transfer-Encoding: gzip~^~^                       ! ' spoilt'
+            HTTP/1.1 200 OK~^Transfer-Encoding: chunked~^Content-Length: 3~^~^ ! ' spoilt'
+            HTTP/1.1 200 OK~^Content-Length: 3~^Content-Length: 4~^~^          ! ' spoilt'
+            HTTP/1.1 200 OK~^Content-Length: -3~^~^                            ! ' spoilt'
+            HTTP/1.1 200 OK~^no header~^~^                                     ! ' spoilt'
+            HTTP/1.1 OK~^~^                                                    ! ' spoilt'
+            noise^                                                             ! ' spoilt'
+            noise                                                              ! ' within last'
+            """)
     void anAnswerIsWholeOpenOrSpoilt(String answer, String heard) {
         assertThat(feed(answer, Integer.MAX_VALUE / 2)).isEqualTo(heard);
         assertThat(feed(answer, 1)).isEqualTo(heard);
--- a/src/test/java/maplerail/net/EngineClientTest.java
+++ b/src/test/java/maplerail/net/EngineClientTest.java
@@ -41,7 +41,8 @@
     }
 
     private EngineClient client(StandIn engine, int connections) {
-        Pool pool = new Pool(loop, new DefaultByteBufferPool(true, 8_192), 30_000, CONNECT_TIMEOUT_MS, connections, 250);
+        Pool pool = new Pool(loop, new DefaultByteBufferPool(true, 8_192), 30_000, CONNECT_TIMEOUT_MS, connections,
+                250);
         EngineClient client = new EngineClient(pool);
         client.addresses(Map.of(ENGINE, engine.socketAddress()));
         return client;
@@ -54,7 +55,7 @@
 
     private final class Heard implements Engines.Answer {
         @Override
-        public void event(byte[] event) { }
+        public void event(byte[] event) {}
 
         @Override
         public void unfit() {
--- a/src/test/java/maplerail/net/PoolTest.java
+++ b/src/test/java/maplerail/net/PoolTest.java
@@ -65,10 +65,10 @@
 
     private record Heard(BlockingQueue<String> by) implements Reply {
         @Override
-        public void head(int status, HeaderMap headers) { }
+        public void head(int status, HeaderMap headers) {}
 
         @Override
-        public void body(ByteBuffer piece) { }
+        public void body(ByteBuffer piece) {}
 
         @Override
         public void end() {
@@ -278,7 +278,7 @@
 
     @Test
     void aConnectionThatIsRefusedProvesThatNothingWasSent() throws Exception {
-        StandIn gone = new StandIn(x -> { });
+        StandIn gone = new StandIn(x -> {});
         InetSocketAddress at = gone.socketAddress();
         gone.close();
         assertThat(post(pool(30_000), at)).isEqualTo("never sent");
--- a/src/test/java/maplerail/sim/CodecTest.java
+++ b/src/test/java/maplerail/sim/CodecTest.java
@@ -73,7 +73,7 @@
         }
     }
 
-    private record Run(int status, byte[] out, String errors) { }
+    private record Run(int status, byte[] out, String errors) {}
 
     private static Run drill(byte[] input) {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
@@ -133,8 +133,8 @@
                 .add(1040, r -> r.putLong(9).putInt(1).put((byte) 11).putDouble(18).put((byte) 2).put((byte) 1)
                         .putInt(0x01020304).putShort((short) 5).put((byte) 2).putFloat(0.5f).putFloat(0.25f))
                 .add(1030, r -> r.putLong(9).put((byte) 2).putDouble(18).putInt(0x01020304).putShort((short) 5))
-                .add(1050, r -> r.putLong(9)).add(1060, r -> r.putLong(-1)).add(1070, r -> { })
-                .add(1080, r -> { }).add(1100, r -> { }).bytes();
+                .add(1050, r -> r.putLong(9)).add(1060, r -> r.putLong(-1)).add(1070, r -> {})
+                .add(1080, r -> {}).add(1100, r -> {}).bytes();
         Codec.Batch batch = Codec.read(new ByteArrayInputStream(frame));
         long engine = 0x01020304L << 16 | 5;
         assertEquals(500, batch.clockMs);
@@ -176,13 +176,13 @@
         byte[] good = new Frame().launch(SETTINGS).bytes();
         refused(java.util.Arrays.copyOf(good, 7), "header", "7 of 16");
         refused(java.util.Arrays.copyOf(good, good.length - 3), "body");
-        refused(new Frame().add(1110, r -> r.putShort((short) 3)).add(1050, r -> { }).bytes(), "record 1", "instance 3");
-        refused(new Frame().add(1050, r -> { }).bytes(), "record 0", "no instance named");
-        refused(new Frame().launch(SETTINGS).add(4242, r -> { }).bytes(), "record 2", "4242");
+        refused(new Frame().add(1110, r -> r.putShort((short) 3)).add(1050, r -> {}).bytes(), "record 1", "instance 3");
+        refused(new Frame().add(1050, r -> {}).bytes(), "record 0", "no instance named");
+        refused(new Frame().launch(SETTINGS).add(4242, r -> {}).bytes(), "record 2", "4242");
         refused(new Frame().launch(SETTINGS).add(1010, r -> r.put((byte) 0).putLong(1).putInt(5).putInt(99)).bytes(),
                 "record 2", "outside a tail");
         refused(new Frame().launch(SETTINGS).add(1010, r -> r.put((byte) 9)).bytes(), "record 2", "list scope 9");
-        refused(new Frame().launch(SETTINGS).add(1040, r -> { }).add(1040, r -> r.position(14).put((byte) 77)).bytes(),
+        refused(new Frame().launch(SETTINGS).add(1040, r -> {}).add(1040, r -> r.position(14).put((byte) 77)).bytes(),
                 "record 3", "result 77");
     }
 
--- a/src/test/java/maplerail/support/World.java
+++ b/src/test/java/maplerail/support/World.java
@@ -40,7 +40,8 @@
     public World() throws IOException {
         discovery = new StandIn(exchange -> {
             int mark = exchange.target.indexOf("index=");
-            if (mark >= 0 && !exchange.target.endsWith("wait=0")) awaitAfter(Long.parseLong(exchange.target.substring(mark + 6).split("&")[0]));
+            if (mark >= 0 && !exchange.target.endsWith("wait=0"))
+                awaitAfter(Long.parseLong(exchange.target.substring(mark + 6).split("&")[0]));
             exchange.reply(200, list());
         });
     }
@@ -64,8 +65,9 @@
     }
 
     public synchronized World engine(String host, String kind, StandIn at, String health) {
-        hosts.put(host, "{\"host\":\"" + host + "\",\"dial\":\"" + at.address() + "\",\"site\":\"caerdydd\",\"class\":\""
-                + kind + "\",\"block\":1,\"health\":\"" + health + "\",\"share\":1.0,\"born_ms\":0}");
+        hosts.put(host,
+                "{\"host\":\"" + host + "\",\"dial\":\"" + at.address() + "\",\"site\":\"caerdydd\",\"class\":\""
+                        + kind + "\",\"block\":1,\"health\":\"" + health + "\",\"share\":1.0,\"born_ms\":0}");
         version++;
         notifyAll();
         return this;
@@ -81,7 +83,8 @@
 
     public String config(String listen) {
         return "{\"name\":\"n0\",\"listen\":\"" + listen + "\",\"discovery\":\"" + discovery.address()
-                + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":" + sockets + "},\"known\":" + list() + ",\"settings\":" + SETTINGS + "}";
+                + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":" + sockets + "},\"known\":" + list()
+                + ",\"settings\":" + SETTINGS + "}";
     }
 
     public World start() throws Exception {
