Give engines in slow start their part at once, by the list, not by a mean of old sends

From 10 to 15 s 26% of the requests were refused and 46% late.

Lines at fault: Logic.coldRoom. Each gateway saved up a whole send for each cold engine at the rate at which its warm peers had got sends from it in the last 10 s. A gateway that sends a reader one request in 10 to 20 s needs some 25 s for that, longer than the slow start, the mean lags behind the list by 10 s, and of what was saved most was lost at the cap while no request suited the engine.

The budget of such a reader is about 17 calls in 2 s and 15 for chance; it got 3.

A node's own sends are still limited, by the answers seen of the role, as the least queued engine would get all of a small fleet's requests. A node that has no answer yet saves up its first send as before.

--- a/src/main/java/maplerail/Logic.java
+++ b/src/main/java/maplerail/Logic.java
@@ -59,7 +59,8 @@
     private static final double SHARE_MS = 5_000; // of its share that a tenant may use at once
     private static final double LOOK_MS = 25; // between two looks for an engine for a request that has none
     private static final double MARGIN_TICKS = 3, MARGIN_MS = 4; // that a timer is set before its limit
-    private static final double COLD_LOAD = 1.2, RATE_MS = 10_000; // of its present capacity; mean of sends
+    private static final double COLD_LOAD = 1.2, COLD_MOST = 0.8; // of a fair share; of the rules' multiple
+    private static final double RATE_MS = 10_000; // mean of answers
     private static final double SHUT_LOG_MS = 500; // between two lines on why admission is shut
     private static final double ASK_AGAIN_MS = 1_000; // between two attempts at a subscription to the list
 
@@ -92,8 +93,9 @@
         }
     }
 
-    /** What is usual in a role, for one step: medians, and the mean rate of our sends to warm engines. */
-    private record Usual(double pace, double waitMs, double stream, double failures, double warmRate) {}
+    /** What is usual in a role, for one step: medians, our answers by engine, and a cold one's part. */
+    private record Usual(double pace, double waitMs, double stream, double failures, double fairRate,
+            double coldShare) {}
 
     private final class Engine {
         final long id;
@@ -121,8 +123,8 @@
         boolean ejected, failedLast;
         double ejectedUntil;
         int ejections, goodTrials;
-        /** Own sends a millisecond (EWMA), and the bucket of sends while cold. */
-        double sendRate, rateAt, coldBucket, coldAt;
+        /** The bucket of sends while cold. */
+        double coldBucket, coldAt;
 
         Engine(long id) { this.id = id; }
     }
@@ -156,6 +158,8 @@
         final int client;
         final double aimMs, deadlineMs, standIn;
         final long session;
+        /** Uniform in [0, 1): cold engines take the requests with the lowest ones. */
+        final double draw = random.nextDouble();
         final List<Attempt> attempts = new ArrayList<>();
         Phase phase = Phase.READING;
         /** Readers held to have its beginning from other nodes. */
@@ -195,6 +199,8 @@
     /** How many of the arrivals of late had each beginning, fading; 0 stands for all. */
     private final Map<Long, double[]> heat = new LinkedHashMap<>();
     private final Map<Role, Usual> usual = new TreeMap<>();
+    /** Of each role, answers a millisecond and when that was so; it fades. */
+    private final Map<Role, double[]> answers = new TreeMap<>();
     /** Waits for a first token lately, wherever; one as long as the aim for a writer that was full. */
     private final Evidence firstTokens = new Evidence();
     /** The same for reads, beyond what they take at the calm pace: the least lately seen. */
@@ -251,13 +257,14 @@
             // A process that started anew holds nothing, and what was learned of it is of no use.
             if (known == null || member.startedMs() > known.member.startedMs()) {
                 known = new Engine(member.engine());
-                // Nodes that hear of a newcomer together must not all hold a whole send for it.
-                known.coldBucket = random.nextDouble();
                 known.coldAt = now;
                 engines.put(member.engine(), known);
             }
-            known.member = member;
             known.role = settings.kinds().get(member.kind()).role();
+            // Nodes that have just come up together must not all hold a send for a newcomer.
+            double held = answerRate(known.role) > 0 ? 0 : 1;
+            if (known.member == null) known.coldBucket = random.nextDouble() - held;
+            known.member = member;
             known.ready = member.state() == State.READY;
         }
     }
@@ -605,8 +612,9 @@
     }
 
     private void observePace(Attempt attempt, double spentMs) {
-        if (!(spentMs > 0 && spentMs < SANE) || !(attempt.cost > 0)) return;
         Engine engine = attempt.engine;
+        answers.put(engine.role, new double[] {answerRate(engine.role) + 1 / RATE_MS, now});
+        if (!(spentMs > 0 && spentMs < SANE) || !(attempt.cost > 0)) return;
         engine.answeredSentMs = Math.max(engine.answeredSentMs, attempt.sentMs);
         if (attempt.read) {
             calmPace = Math.min(spentMs / attempt.cost, calmPace * CALM_DRIFT);
@@ -644,9 +652,11 @@
     private Usual usual(Engine engine) {
         return usual.computeIfAbsent(engine.role, role -> {
             List<Engine> peers = peers(engine);
-            double rate = peers.stream().filter(e -> !cold(e)).mapToDouble(this::rateOf).average().orElse(0);
+            double share = COLD_LOAD * peers.size() / peers.stream().mapToDouble(this::presentCapacity).sum();
+            double rate = answerRate(role) / Math.max(1, peers.size());
             return new Usual(median(peers, e -> e.pace), median(peers, e -> e.typicalMs),
-                    median(peers, e -> e.stream), median(peers, e -> e.failures), rate);
+                    median(peers, e -> e.stream), median(peers, e -> e.failures), rate,
+                    Math.min(share, COLD_MOST * settings.rules().tipMultiple()));
         });
     }
 
@@ -684,7 +694,7 @@
         List<Engine> peers = peers(engine);
         if (peers.stream().filter(e -> e.ejected || e == engine).count() > EJECT_SHARE * peers.size()) return;
         engine.ejected = true;
-        double least = Math.max(EJECT_MS * (1 << Math.min(engine.ejections, 10)), 1 / usual(engine).warmRate);
+        double least = Math.max(EJECT_MS * (1 << Math.min(engine.ejections, 10)), 1 / usual(engine).fairRate);
         engine.ejectedUntil = now + Math.min(EJECT_MAX_MS, least);
         engine.ejections++;
         engine.goodTrials = 0;
@@ -704,7 +714,8 @@
     /** Engines of a role that may be sent to; healthy ones, and others than the last, if there are any. */
     private List<Engine> able(Request request, Engine not, Predicate<Engine> role) {
         List<Engine> open = engines.values().stream()
-                .filter(e -> e.ready && role.test(e) && coldRoom(e) && repeatAllowed(request, e)).toList();
+                .filter(e -> e.ready && role.test(e) && coldRoom(request, e) && repeatAllowed(request, e))
+                .toList();
         List<Engine> others = open.stream().filter(e -> e != not).toList();
         List<Engine> healthy = others.stream().filter(this::admits).toList();
         // Whether an engine that failed last is well again is found out with work that may be repeated.
@@ -720,7 +731,6 @@
             giveUp(request);
             return false;
         }
-        count(engine, 1);
         if (cold(engine)) engine.coldBucket -= 1;
         Attempt attempt = new Attempt(request, engine, read, now);
         attempt.cost = read ? engine.queued + uncached + READ_OVERHEAD : 1;
@@ -764,33 +774,32 @@
         return startedMs > 0 && now < startedMs + settings.rules().warmAfterMs();
     }
 
-    /** Our share of what a cold engine can do, judged by what its warm peers get from us on average. */
-    private boolean coldRoom(Engine engine) {
+    /**
+     * Slow start: the part of requests that may go to a cold engine follows its present capacity, and is
+     * larger where most of a role was replaced, up to what the rules let it bear. As the least queued it
+     * would get all of a small fleet's, so the sends to it are limited by the answers seen, too.
+     */
+    private boolean coldRoom(Request request, Engine engine) {
         if (!cold(engine)) return true;
-        double perMs = Math.max(1.0 / (1000 * settings.routers()), usual(engine).warmRate)
-                * presentCapacity(engine) * COLD_LOAD;
-        engine.coldBucket = Math.min(1, engine.coldBucket + (now - engine.coldAt) * perMs);
+        double fair = Math.max(1.0 / (1000 * settings.routers()), usual(engine).fairRate);
+        double share = usual(engine).coldShare * presentCapacity(engine);
+        engine.coldBucket = Math.min(1, engine.coldBucket + (now - engine.coldAt) * fair * share);
         engine.coldAt = now;
-        return engine.coldBucket >= 1;
+        return request.draw < share && engine.coldBucket >= 0;
     }
 
-    /**
-     * The share of its capacity that a cold engine has by its age: the rules state the start and the end, and
-     * it is taken to grow evenly. Held at the start's share, newcomers idle while those they relieve drown.
-     */
+    /** The share of its capacity that an engine has by its age: the rules tell the start; it grows evenly. */
     private double presentCapacity(Engine engine) {
+        if (!cold(engine)) return 1;
         double age = Math.max(0, now - engine.member.startedMs()) / settings.rules().warmAfterMs();
         double start = settings.rules().startCapacity();
         return start + (1 - start) * Math.min(1, age);
     }
 
-    private void count(Engine engine, double sends) {
-        engine.sendRate = Math.max(0, rateOf(engine) + sends / RATE_MS);
-        engine.rateAt = now;
-    }
-
-    private double rateOf(Engine engine) {
-        return engine.sendRate * Math.exp((engine.rateAt - now) / RATE_MS);
+    /** Answers a millisecond that we got from a role lately, reads that ended well and first tokens. */
+    private double answerRate(Role role) {
+        double[] known = answers.getOrDefault(role, new double[] {0, now});
+        return known[0] * Math.exp((known[1] - now) / RATE_MS);
     }
 
     // ---- Attempts: waiting, overdue, failed ----
@@ -946,7 +955,7 @@
 
     /** An engine that we meet so seldom that its own waits say little: then those of its role stand in. */
     private boolean unmet(Engine engine) {
-        return usual(engine).warmRate * WAIT_MS < 1;
+        return usual(engine).fairRate * WAIT_MS < 1;
     }
 
     private double pooled(Evidence waits) {
@@ -970,7 +979,7 @@
     private double waitMs(Engine engine) {
         double usual = usual(engine).waitMs > 0 ? usual(engine).waitMs : 0;
         // Remembered for longer than the gap between two samples, however many engines share our work.
-        double fadeMs = Math.max(WAIT_MS, Math.min(MEMORY_MS, 1 / usual(engine).warmRate));
+        double fadeMs = Math.max(WAIT_MS, Math.min(MEMORY_MS, 1 / usual(engine).fairRate));
         double excess = usual * (relative(engine.typicalMs, usual) - 1);
         double seen = usual + excess * Math.exp((engine.heardMs - now) / fadeMs);
         return Math.max(oldestMs(engine), seen);
@@ -1023,8 +1032,6 @@
         Request request = attempt.request;
         Engine engine = attempt.engine;
         engine.out.remove(attempt);
-        // What was turned away is no measure of what a warm engine can carry.
-        if (ended.outcome().neverRan && ended.outcome() != Outcome.READ) count(engine, -1);
         engine.queued = Math.max(0, engine.queued - attempt.uncached);
         double tokens = attempt.read ? 0 : request.asked.promptTokens() + request.standIn;
         engine.projected = Math.max(0, engine.projected - tokens);
