Move a read on from a silent reader while others answer, and look again at those held back

Lines at fault, all in Logic. overdue: where the waits of the role were over a quarter of the aim it returned without a further timer, so nobody ever looked again. With no retry left (one for five arrivals, while 4 of 17 readers were silent) the next look came after patience, which grew with the oldest attempt at the engine: three times its own age, so that a silent reader excused itself. And the verdict on the engine waited for the retry.

Ruled out: ejection too slow alone. A gateway meets each reader once in 10 to 20 s and would need two bad attempts at each, about as many as it makes in the whole time.

Mend: the first read is moved on freely if its reader has said nothing since and the others answer soon; what is held back is looked at again each 0.4 of an aim; patience goes by answers only; a request that was moved once waits twice as long; the verdict comes first.

Tests: FailoverTest, two, seen to fail without the mend.

--- a/src/main/java/maplerail/Logic.java
+++ b/src/main/java/maplerail/Logic.java
@@ -14,6 +14,7 @@
 import java.util.function.Function;
 import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
+import java.util.stream.Stream;
 
 /**
  * Every decision of a node. Its events, actions and settings are in {@link Router} (Router.java).
@@ -24,8 +25,6 @@
  */
 public final class Logic implements Router {
 
-    // ---- Constants: unit and reason ----
-
     private static final double QUANTUM = 40_000; // tokens; what every counter of a client grows by (design)
     private static final double OUTPUT_WEIGHT = 2, STAND_IN = 0.5; // of output in the deficit; of the maximum
     private static final double ENTRY_AGE = 20_000; // ms that a locality entry is believed (design)
@@ -64,8 +63,6 @@
     private static final double SHUT_LOG_MS = 500; // between two lines on why admission is shut
     private static final double ASK_AGAIN_MS = 1_000; // between two attempts at a subscription to the list
 
-    // ---- State ----
-
     private enum Phase { READING, HOLDING, WRITING, STREAMING, DONE }
 
     /** What a timer is for; its place is the low part of the token. */
@@ -87,10 +84,6 @@
             mean += (value - mean) / weight;
             atMs = now;
         }
-
-        double orElse(double least, double other) {
-            return weight() >= least ? mean : other;
-        }
     }
 
     /** What is usual in a role, for one step: medians, our answers by engine, and a cold one's part. */
@@ -136,7 +129,7 @@
         final boolean read;
         final double sentMs;
         double cost, uncached, matched;
-        boolean ended, cancelled, begun, excused;
+        boolean ended, cancelled, begun, excused, blamed;
 
         /** A reader takes prompts in turn: an answer to a later one says that this one's is lost. */
         boolean overtaken() {
@@ -221,8 +214,6 @@
         this.random = new SplittableRandom(settings.seed());
     }
 
-    // ---- Handlers ----
-
     @Override
     public List<Action> step(double nowMs, List<? extends Event> events) {
         now = nowMs;
@@ -257,14 +248,13 @@
             // A process that started anew holds nothing, and what was learned of it is of no use.
             if (known == null || member.startedMs() > known.member.startedMs()) {
                 known = new Engine(member.engine());
+                // Nodes that have just come up together must not all hold a send for a newcomer.
+                known.coldBucket = random.nextDouble() - (answers.isEmpty() ? 1 : 0);
                 known.coldAt = now;
                 engines.put(member.engine(), known);
             }
-            known.role = settings.kinds().get(member.kind()).role();
-            // Nodes that have just come up together must not all hold a send for a newcomer.
-            double held = answerRate(known.role) > 0 ? 0 : 1;
-            if (known.member == null) known.coldBucket = random.nextDouble() - held;
             known.member = member;
+            known.role = settings.kinds().get(member.kind()).role();
             known.ready = member.state() == State.READY;
         }
     }
@@ -506,12 +496,8 @@
     }
 
     private void drop(Request request, Engine engine) {
-        drop(sessions.get(request.asked.session()), engine);
-        drop(prefixes.get(request.asked.prefix()), engine);
-    }
-
-    private static void drop(ArrayDeque<Holding> holdings, Engine engine) {
-        if (holdings != null) holdings.removeIf(h -> h.engine() == engine);
+        Stream.of(sessions.get(request.asked.session()), prefixes.get(request.asked.prefix()))
+                .filter(Objects::nonNull).forEach(holdings -> holdings.removeIf(h -> h.engine() == engine));
     }
 
     // ---- Writer: lowest projected memory, chosen when the read has ended ----
@@ -661,7 +647,7 @@
     }
 
     private static double median(List<Engine> among, Function<Engine, Evidence> of) {
-        double[] values = among.stream().map(of).mapToDouble(v -> v.orElse(SOME, Double.NaN))
+        double[] values = among.stream().map(of).mapToDouble(v -> v.weight() >= SOME ? v.mean : Double.NaN)
                 .filter(v -> v >= 0).sorted().toArray();
         return values.length == 0 ? Double.NaN : values[(values.length - 1) / 2];
     }
@@ -807,12 +793,13 @@
     /** How long an attempt may be out: some times what its peers take, or what its own engine took lately. */
     private double patience(Attempt attempt) {
         double pace = usual(attempt.engine).pace;
-        double expected = Math.max(Double.isNaN(pace) ? 0 : pace * attempt.cost, waitMs(attempt.engine));
+        double expected = Math.max(Double.isNaN(pace) ? 0 : pace * attempt.cost, seenMs(attempt.engine));
         // What we only assume to be kept there may have to be read.
         boolean assumed = pace > 0 && attempt.request.homes.contains(attempt.engine);
         double whole = assumed ? pace * attempt.request.asked.promptTokens() : 0;
         double least = OVERDUE_SHARE * attempt.request.kind.aimMs();
-        return Math.max(least, OVERDUE * Math.max(expected, whole / 2));
+        // A request that was moved on is moved again only after longer.
+        return Math.max(least, OVERDUE * Math.max(expected, whole / 2)) * (1 << attempt.number / 2);
     }
 
     /** Silence, or a known outlier: an attempt is out far longer than peers take. Try elsewhere. */
@@ -826,29 +813,32 @@
         boolean silent = attempt.engine.heardMs < attempt.sentMs;
         // A full writer's queue is quiet too: only silence as long as an aim counts against the engine.
         boolean mute = silent && now - attempt.engine.heardMs > request.kind.aimMs();
+        // The verdict on an engine does not wait until the request may be repeated.
+        if (mute && !attempt.blamed) bad(attempt.engine, attempt);
+        attempt.blamed |= mute;
         boolean unsafe = request.kind.repeat() == Repeat.UNSAFE;
+        double againMs = now + OVERDUE_SHARE * request.kind.aimMs();
         // What may have begun to answer and can't be repeated is waited for: called off, it is lost for sure.
         if (unsafe && attempt == request.mayHaveRun) {
-            if (mute) bad(attempt.engine, attempt);
-            else setTimer(request.asked.id(), number, Alarm.OVERDUE, now + patience(attempt));
+            if (!mute) setTimer(request.asked.id(), number, Alarm.OVERDUE, againMs);
             return;
         }
-        // Retries are rationed against storms, but an answer that is lost comes from no lack of capacity.
+        // Where a whole role is behind, a copy only adds to it, and retries are rationed in storms. An answer
+        // that is lost, or one engine's silence while others answer soon, is no lack of capacity.
         boolean lost = attempt.overtaken();
-        if (retryTokens < 1 && !lost) {
-            setTimer(request.asked.id(), number, Alarm.OVERDUE, now + patience(attempt));
+        Evidence waits = attempt.read ? reads : firstTokens;
+        boolean behind = pooled(waits) > BEHIND * request.kind.aimMs();
+        boolean free = number == 0 && silent && waits.weight() >= SOME && !behind;
+        if (!lost && !free && (behind && unmet(attempt.engine) || retryTokens < 1)) {
+            setTimer(request.asked.id(), number, Alarm.OVERDUE, againMs);
             return;
         }
-        // Where the whole role is behind, a copy only adds to it.
-        double behind = pooled(attempt.read ? reads : firstTokens);
-        if (!lost && unmet(attempt.engine) && behind > BEHIND * request.kind.aimMs()) return;
         if (!silent && !lost && !attempt.excused && relativePace(attempt.engine) < OUTLIER) {
             // Others were answered: a queue, or an answer that was lost. The second time it counts as lost.
             attempt.excused = true;
             setTimer(request.asked.id(), number, Alarm.OVERDUE, 2 * now - attempt.sentMs);
             return;
         }
-        if (mute) bad(attempt.engine, attempt);
         retryTokens = Math.max(0, retryTokens - 1);
         // Guards against a second send of unsafe work while the first is out, a read's included: call it off.
         if (attempt.read && settings.limits().secondCopies() && !unsafe) read(request, attempt.engine);
@@ -977,12 +967,16 @@
 
     /** What an engine makes us wait: its recent times, or the age of what still waits there. */
     private double waitMs(Engine engine) {
+        return Math.max(oldestMs(engine), seenMs(engine));
+    }
+
+    /** Its recent times alone: an engine that is silent must not excuse its silence by its oldest attempt. */
+    private double seenMs(Engine engine) {
         double usual = usual(engine).waitMs > 0 ? usual(engine).waitMs : 0;
         // Remembered for longer than the gap between two samples, however many engines share our work.
         double fadeMs = Math.max(WAIT_MS, Math.min(MEMORY_MS, 1 / usual(engine).fairRate));
         double excess = usual * (relative(engine.typicalMs, usual) - 1);
-        double seen = usual + excess * Math.exp((engine.heardMs - now) / fadeMs);
-        return Math.max(oldestMs(engine), seen);
+        return usual + excess * Math.exp((engine.heardMs - now) / fadeMs);
     }
 
     /** A jam is believed no longer than it is seen: admission, once shut, would get no news to open on. */
--- /dev/null
+++ b/src/test/java/maplerail/FailoverTest.java
@@ -0,0 +1,85 @@
+package maplerail;
+
+import static maplerail.Node.reader;
+import static maplerail.Node.writer;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import maplerail.Router.Cancel;
+import maplerail.Router.Outcome;
+import maplerail.Router.Send;
+import org.junit.jupiter.api.Test;
+
+/** Where requests go on when their engine fails or says nothing, at a node that sends each engine little. */
+class FailoverTest {
+    private static final double AIM_MS = 1_000;
+    private static final double DEADLINE_MS = 5_000;
+
+    /** A node among a hundred, which gets a request a second; its readers answer within 60 ms. */
+    private static Node oneOfMany() {
+        Node node = new Node();
+        node.routers = 100;
+        node.copies = false;
+        node.start(reader(1), reader(2), reader(3), reader(4), writer(11), writer(12));
+        serve(node, 1, 10, 60);
+        return node;
+    }
+
+    private static void serve(Node node, long firstId, int count, double readMs) {
+        for (long id = firstId; id < firstId + count; id++, node.now += 1_000) {
+            node.arrive(id, id, 0, 1_000, DEADLINE_MS);
+            if (node.sent() == null) continue;
+            node.end(id, 0, Outcome.READ, readMs, 0, false);
+            node.first(id, 1);
+            node.end(id, 1, Outcome.SERVED);
+        }
+    }
+
+    private static List<Send> sendsOf(Node node, long id) {
+        return node.sends().stream().filter(send -> send.id() == id).toList();
+    }
+
+    /**
+     * Found on large days with readers that hang: the ration of retries was spent on the first of their requests, and
+     * the others stayed there until their deadline, though other readers answered at once.
+     */
+    @Test
+    void eachRequestLeavesASilentEngineWhileTheOthersAnswer() {
+        Node node = oneOfMany();
+        for (long id = 101; id <= 106; id++) {
+            node.arrive(id, id, 0, 1_000, DEADLINE_MS);
+            long silent = node.sent().engine();
+            node.until(node.now + AIM_MS / 2);
+            assertTrue(node.all.contains(new Cancel(id, 0)), "request " + id + " is called off at reader " + silent);
+            node.end(id, 0, Outcome.CANCELLED);
+            assertEquals(2, sendsOf(node, id).size(), "attempts of request " + id);
+            assertNotEquals(silent, sendsOf(node, id).get(1).engine());
+            node.end(id, 1, Outcome.READ, 60, 0, false);
+            node.first(id, 2);
+            node.end(id, 2, Outcome.SERVED);
+        }
+    }
+
+    /** Found on the large join day: an attempt that was overdue while its role was behind was never looked at again. */
+    @Test
+    void aRequestLeavesASilentEngineOnceTheOthersHaveCaughtUp() {
+        Node node = oneOfMany();
+        serve(node, 51, 5, 700);
+        node.arrive(101, 101, 0, 1_000, 60_000);
+        long silent = node.sent().engine();
+        node.until(node.now + 1_900);
+        assertFalse(node.all.contains(new Cancel(101, 0)), "the readers are behind: a copy would add to it");
+        for (long id = 102; id <= 116; id++) {
+            node.arrive(id, id, 0, 1_000, DEADLINE_MS);
+            if (node.sent() == null || node.sent().engine() == silent) continue;
+            node.end(id, 0, Outcome.READ, 60, 0, false);
+        }
+        node.until(node.now + AIM_MS);
+        assertTrue(node.all.contains(new Cancel(101, 0)), "called off at reader " + silent);
+        node.end(101, 0, Outcome.CANCELLED);
+        assertNotEquals(silent, sendsOf(node, 101).get(1).engine());
+    }
+}
