Try engines that have not failed the request before those that have

Line at fault: Logic.able left out only the engine of the last attempt, and the next choice among the others is the same again: the homes of the request's beginning.

Mend: engines that failed this request come last. Test: FailoverTest.aRequestDoesNotReturnToAnEngineThatFailedIt..., which went [4, 1, 4, 1, 4] without it.

--- a/src/main/java/maplerail/Logic.java
+++ b/src/main/java/maplerail/Logic.java
@@ -129,7 +129,7 @@
         final boolean read;
         final double sentMs;
         double cost, uncached, matched;
-        boolean ended, cancelled, begun, excused, blamed;
+        boolean ended, cancelled, begun, excused, blamed, failed;
 
         /** A reader takes prompts in turn: an answer to a later one says that this one's is lost. */
         boolean overtaken() {
@@ -311,6 +311,7 @@
         if (attempt == null) return;
         Request request = attempt.request;
         attempt.ended = true;
+        attempt.failed = ended.outcome() != Outcome.READ && ended.outcome() != Outcome.SERVED;
         request.out--;
         // What never reached its engine took nothing: the time of what is held runs on.
         if (!neverCame(ended.outcome())) request.heldMs = now;
@@ -697,18 +698,20 @@
 
     // ---- Guards: every send passes here ----
 
-    /** Engines of a role that may be sent to; healthy ones, and others than the last, if there are any. */
+    /** Engines of a role that may be sent to: healthy ones that did not fail the request, if any. */
     private List<Engine> able(Request request, Engine not, Predicate<Engine> role) {
-        List<Engine> open = engines.values().stream()
+        List<Engine> able = engines.values().stream()
                 .filter(e -> e.ready && role.test(e) && coldRoom(request, e) && repeatAllowed(request, e))
                 .toList();
-        List<Engine> others = open.stream().filter(e -> e != not).toList();
-        List<Engine> healthy = others.stream().filter(this::admits).toList();
         // Whether an engine that failed last is well again is found out with work that may be repeated.
-        List<Engine> proven = request.kind.repeat() != Repeat.UNSAFE ? healthy
-                : healthy.stream().filter(e -> e.role == Role.READ || !e.failedLast).toList();
-        if (!proven.isEmpty()) return proven;
-        return !healthy.isEmpty() ? healthy : others.isEmpty() ? open : others;
+        List<Predicate<Engine>> wishes = List.of(e -> e != not, this::admits,
+                e -> request.attempts.stream().noneMatch(a -> a.engine == e && a.failed),
+                e -> request.kind.repeat() != Repeat.UNSAFE || e.role == Role.READ || !e.failedLast);
+        for (Predicate<Engine> wish : wishes) {
+            List<Engine> kept = able.stream().filter(wish).toList();
+            if (!kept.isEmpty()) able = kept;
+        }
+        return able;
     }
 
     private boolean send(Request request, Engine engine, boolean read, double uncached, double matched) {
--- a/src/test/java/maplerail/FailoverTest.java
+++ b/src/test/java/maplerail/FailoverTest.java
@@ -8,6 +8,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
+import java.util.Set;
+import maplerail.Router.Arrival;
 import maplerail.Router.Cancel;
 import maplerail.Router.Outcome;
 import maplerail.Router.Send;
@@ -82,4 +84,24 @@
         node.end(101, 0, Outcome.CANCELLED);
         assertNotEquals(silent, sendsOf(node, 101).get(1).engine());
     }
+
+    /**
+     * Found on the large zone day: a request went back and forth between the two homes of its beginning, both out of
+     * reach, until its attempts were spent, though other readers were well.
+     */
+    @Test
+    void aRequestDoesNotReturnToAnEngineThatFailedItWhileOthersAreLeft() {
+        Node node = new Node();
+        node.routers = 100;
+        node.copies = false;
+        node.start(reader(1), reader(2), reader(3), reader(4), reader(5), reader(6), writer(11));
+        for (long id = 1; id <= 20; id++, node.now += 1_000) {
+            node.on(new Arrival(id, 0, 0, id, 1_000, 77, 900, DEADLINE_MS, 200, 0, false));
+            for (int attempt = 0; attempt < 5 && node.sent() != null; attempt++) {
+                node.end(id, attempt, Outcome.UNREACHABLE, 250, 0, false);
+            }
+            List<Long> tried = sendsOf(node, id).stream().map(Send::engine).toList();
+            assertEquals(tried.size(), Set.copyOf(tried).size(), "readers tried by request " + id + ": " + tried);
+        }
+    }
 }
