Try another zone after an engine that was out of reach

Line at fault: Logic.able knows nothing of zones. A node that meets each engine seldom finds out about a zone engine by engine, and a request has six attempts.

Mend: after an attempt that did not reach its engine a request prefers the other zones' engines. Test: FailoverTest.aRequestGoesToAnotherZoneAfterAnEngineThatIsOutOfReach, seen to fail without it.

--- a/src/main/java/maplerail/Logic.java
+++ b/src/main/java/maplerail/Logic.java
@@ -58,8 +58,7 @@
     private static final double SHARE_MS = 5_000; // of its share that a tenant may use at once
     private static final double LOOK_MS = 25; // between two looks for an engine for a request that has none
     private static final double MARGIN_TICKS = 3, MARGIN_MS = 4; // that a timer is set before its limit
-    private static final double COLD_LOAD = 1.2, COLD_MOST = 0.8; // of a fair share; of the rules' multiple
-    private static final double RATE_MS = 10_000; // mean of answers
+    private static final double COLD_LOAD = 1.2, COLD_MOST = 0.8, RATE_MS = 10_000; // of a share; of the most
     private static final double SHUT_LOG_MS = 500; // between two lines on why admission is shut
     private static final double ASK_AGAIN_MS = 1_000; // between two attempts at a subscription to the list
 
@@ -129,7 +128,7 @@
         final boolean read;
         final double sentMs;
         double cost, uncached, matched;
-        boolean ended, cancelled, begun, excused, blamed, failed;
+        boolean ended, cancelled, begun, excused, blamed, failed, unreachable;
 
         /** A reader takes prompts in turn: an answer to a later one says that this one's is lost. */
         boolean overtaken() {
@@ -312,6 +311,7 @@
         Request request = attempt.request;
         attempt.ended = true;
         attempt.failed = ended.outcome() != Outcome.READ && ended.outcome() != Outcome.SERVED;
+        attempt.unreachable = ended.outcome() == Outcome.UNREACHABLE;
         request.out--;
         // What never reached its engine took nothing: the time of what is held runs on.
         if (!neverCame(ended.outcome())) request.heldMs = now;
@@ -706,6 +706,8 @@
         // Whether an engine that failed last is well again is found out with work that may be repeated.
         List<Predicate<Engine>> wishes = List.of(e -> e != not, this::admits,
                 e -> request.attempts.stream().noneMatch(a -> a.engine == e && a.failed),
+                e -> request.attempts.stream()
+                        .noneMatch(a -> a.unreachable && a.engine.member.zone() == e.member.zone()),
                 e -> request.kind.repeat() != Repeat.UNSAFE || e.role == Role.READ || !e.failedLast);
         for (Predicate<Engine> wish : wishes) {
             List<Engine> kept = able.stream().filter(wish).toList();
@@ -791,8 +793,6 @@
         return known[0] * Math.exp((known[1] - now) / RATE_MS);
     }
 
-    // ---- Attempts: waiting, overdue, failed ----
-
     /** How long an attempt may be out: some times what its peers take, or what its own engine took lately. */
     private double patience(Attempt attempt) {
         double pace = usual(attempt.engine).pace;
@@ -808,8 +808,8 @@
     /** Silence, or a known outlier: an attempt is out far longer than peers take. Try elsewhere. */
     private void overdue(Request request, int number) {
         Attempt attempt = number < request.attempts.size() ? request.attempts.get(number) : null;
-        if (attempt == null || attempt.ended || attempt.cancelled || request.phase == Phase.DONE
-                || request.phase == Phase.STREAMING
+        boolean over = request.phase == Phase.DONE || request.phase == Phase.STREAMING;
+        if (over || attempt == null || attempt.ended || attempt.cancelled
                 || request.attempts.size() >= settings.limits().maxAttempts() - 1) {
             return;
         }
@@ -993,8 +993,6 @@
                 .map(a -> now - a.sentMs).orElse(0.0);
     }
 
-    // ---- End of request ----
-
     /** Ends a request unserved, at once; refused if a retry is harmless, to come when waits have faded. */
     private void giveUp(Request request) {
         if (request.phase == Phase.DONE || request.phase == Phase.STREAMING) return;
--- a/src/test/java/maplerail/FailoverTest.java
+++ b/src/test/java/maplerail/FailoverTest.java
@@ -7,12 +7,15 @@
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import maplerail.Router.Arrival;
 import maplerail.Router.Cancel;
+import maplerail.Router.Member;
 import maplerail.Router.Outcome;
 import maplerail.Router.Send;
+import maplerail.Router.State;
 import org.junit.jupiter.api.Test;
 
 /** Where requests go on when their engine fails or says nothing, at a node that sends each engine little. */
@@ -104,4 +107,25 @@
             assertEquals(tried.size(), Set.copyOf(tried).size(), "readers tried by request " + id + ": " + tried);
         }
     }
+
+    /** Found on the same day: cut off from a zone, a node tried six of its engines in turn for one request. */
+    @Test
+    void aRequestGoesToAnotherZoneAfterAnEngineThatIsOutOfReach() {
+        Node node = new Node();
+        node.routers = 100;
+        node.copies = false;
+        List<Member> members = new ArrayList<>(List.of(writer(21)));
+        for (long id = 1; id <= 12; id++) members.add(new Member(id, State.READY, 0, (int) (id % 2), 0, 1, 0));
+        node.start(members.toArray(Member[]::new));
+        for (long id = 1; id <= 20; id++, node.now += 1_000) {
+            node.arrive(id, id, 0, 1_000, DEADLINE_MS);
+            boolean far = node.sent().engine() % 2 == 1;
+            if (far) node.end(id, 0, Outcome.UNREACHABLE, 250, 0, false);
+            assertEquals(0, node.sent().engine() % 2, "zone of the reader that request " + id + " was sent to");
+            int attempts = far ? 2 : 1;
+            node.end(id, attempts - 1, Outcome.READ, 60, 0, false);
+            node.first(id, attempts);
+            node.end(id, attempts, Outcome.SERVED);
+        }
+    }
 }
