Refuse the test's connection at a port that nobody else can take

PoolTest.aConnectionThatIsRefusedProvesThatNothingWasSent closed a listener and connected to its port. Once, with other programs opening ports beside it, nothing came within 20 s: somebody else had the port and took the connection. The port is now bound by the test and never listens, which refuses as well. The assertion is the same.

--- a/src/test/java/maplerail/net/PoolTest.java
+++ b/src/test/java/maplerail/net/PoolTest.java
@@ -278,9 +278,11 @@
 
     @Test
     void aConnectionThatIsRefusedProvesThatNothingWasSent() throws Exception {
-        StandIn gone = new StandIn(x -> {});
-        InetSocketAddress at = gone.socketAddress();
-        gone.close();
-        assertThat(post(pool(30_000), at)).isEqualTo("never sent");
+        // Bound and not listening: nobody else can take the port, as could happen to one that was closed.
+        try (Socket bound = new Socket()) {
+            bound.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0));
+            InetSocketAddress at = (InetSocketAddress) bound.getLocalSocketAddress();
+            assertThat(post(pool(30_000), at)).isEqualTo("never sent");
+        }
     }
 }
