Name requests, attempts, registry and failure log by the terms of the field

Ask is ServiceRequest, Entry ActiveRequest and its Try an Attempt, Book RequestRegistry, Send AttemptRunner, Trail FailureLog, Sent CallSending, Hangup SighupHandler. No behaviour changes.

--- a/src/main/java/maplerail/cli/Main.java
+++ b/src/main/java/maplerail/cli/Main.java
@@ -114,7 +114,7 @@
             return 0;
         }
         Gateway gateway = new Gateway(config, tools);
-        Hangup.then(() -> reload(gateway, file, toolsFile, environment));
+        SighupHandler.then(() -> reload(gateway, file, toolsFile, environment));
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             gateway.drain();
             try {
--- a/src/main/java/maplerail/cli/Hangup.java
+++ b/src/main/java/maplerail/cli/SighupHandler.java
@@ -8,17 +8,17 @@
  * SIGHUP. Guards against the machine's own way with it, which is to end the program. The class that tells of signals
  * is in no standard package, so it is looked up: the program runs, without reloads, where it is missing.
  */
-final class Hangup {
-    private static final Logger LOG = LoggerFactory.getLogger(Hangup.class);
+final class SighupHandler {
+    private static final Logger LOG = LoggerFactory.getLogger(SighupHandler.class);
 
-    private Hangup() {}
+    private SighupHandler() {}
 
     /** Runs a task, on a thread of its own, at each SIGHUP from now on. */
     static void then(Runnable task) {
         try {
             Class<?> signal = Class.forName("sun.misc.Signal");
             Class<?> handler = Class.forName("sun.misc.SignalHandler");
-            Object told = Proxy.newProxyInstance(Hangup.class.getClassLoader(), new Class<?>[] {handler},
+            Object told = Proxy.newProxyInstance(SighupHandler.class.getClassLoader(), new Class<?>[] {handler},
                     (proxy, method, arguments) -> {
                         if (method.getName().equals("handle")) task.run();
                         return null;
--- a/src/main/java/maplerail/core/Entry.java
+++ b/src/main/java/maplerail/core/ActiveRequest.java
@@ -8,13 +8,13 @@
 import java.util.Set;
 import maplerail.Router;
 
-/** The book's page on one request: its attempts, its answer and what engines may hold for it. */
-final class Entry {
+/** A request that is open: its attempts, its answer and what engines may hold for it. */
+final class ActiveRequest {
     final long number;
-    final Ask ask;
+    final ServiceRequest request;
     final Caller caller;
     final double deadlineMs;
-    final List<Try> tries = new ArrayList<>();
+    final List<Attempt> attempts = new ArrayList<>();
     /** Engines at which a state may wait, and those of them that said so. */
     final Set<Long> mayHold = new LinkedHashSet<>();
     final Set<Long> holds = new LinkedHashSet<>();
@@ -23,27 +23,27 @@
     /** When a read was last cut off at an engine, which may read on all the same and hold a state in the end. */
     final Map<Long, Double> cutReadsMs = new LinkedHashMap<>();
     /** The attempt whose events the caller gets. */
-    Try winner;
+    Attempt winner;
     Loop.Alarm guard;
 
-    Entry(long number, Ask ask, Caller caller, double deadlineMs) {
+    ActiveRequest(long number, ServiceRequest request, Caller caller, double deadlineMs) {
         this.number = number;
-        this.ask = ask;
+        this.request = request;
         this.caller = caller;
         this.deadlineMs = deadlineMs;
     }
 
     boolean anyOut() {
-        return tries.stream().anyMatch(t -> !t.ended);
+        return attempts.stream().anyMatch(attempt -> !attempt.ended);
     }
 
     boolean outAt(long engine) {
-        return tries.stream().anyMatch(t -> !t.ended && t.engine == engine);
+        return attempts.stream().anyMatch(attempt -> !attempt.ended && attempt.engine == engine);
     }
 
     /** One attempt. */
-    static final class Try {
-        final Entry entry;
+    static final class Attempt {
+        final ActiveRequest active;
         final int number;
         final long engine;
         final boolean reader;
@@ -60,9 +60,9 @@
         Router.Outcome outcome;
         double endedMs;
 
-        Try(Entry entry, long engine, boolean reader, double sentMs) {
-            this.entry = entry;
-            this.number = entry.tries.size();
+        Attempt(ActiveRequest active, long engine, boolean reader, double sentMs) {
+            this.active = active;
+            this.number = active.attempts.size();
             this.engine = engine;
             this.reader = reader;
             this.sentMs = sentMs;
--- a/src/main/java/maplerail/core/Admission.java
+++ b/src/main/java/maplerail/core/Admission.java
@@ -3,24 +3,24 @@
 import java.util.HashMap;
 import java.util.Map;
 
-/** First stage: gives each request its number and a page in the book. */
+/** First stage: gives each request its number and enters it in the registry. */
 final class Admission {
     private final Loop loop;
-    private final Book book;
-    private final Map<String, Entry> open = new HashMap<>();
+    private final RequestRegistry registry;
+    private final Map<String, ActiveRequest> open = new HashMap<>();
     private long last;
 
-    Admission(Loop loop, Book book) {
+    Admission(Loop loop, RequestRegistry registry) {
         this.loop = loop;
-        this.book = book;
+        this.registry = registry;
     }
 
-    /** The page, or null for an id that is open already: two of one id could not be told apart by engines. */
-    Entry take(Ask ask, Caller caller) {
-        if (open.containsKey(ask.id())) return null;
-        Entry entry = new Entry(++last, ask, caller, loop.nowMs() + ask.budgetMs());
-        open.put(ask.id(), entry);
-        book.open(entry, () -> open.remove(ask.id()));
-        return entry;
+    /** The open request, or null for an id that is open already: two of one id could not be told apart by engines. */
+    ActiveRequest take(ServiceRequest request, Caller caller) {
+        if (open.containsKey(request.id())) return null;
+        ActiveRequest active = new ActiveRequest(++last, request, caller, loop.nowMs() + request.budgetMs());
+        open.put(request.id(), active);
+        registry.open(active, () -> open.remove(request.id()));
+        return active;
     }
 }
--- a/src/main/java/maplerail/core/Send.java
+++ b/src/main/java/maplerail/core/AttemptRunner.java
@@ -8,7 +8,7 @@
 import maplerail.Router.Outcome;
 
 /** Fourth stage: makes the attempts that the module asks for, ends them, and tells how each one ended. */
-final class Send {
+final class AttemptRunner {
     private static final double STALL_MS = 3_000; // without an event, after which a stream has stopped
     /** That an attempt is left open after its request's answer while the reader of its state is out of reach. */
     private static final double LINGER_MS = 8_000;
@@ -17,42 +17,43 @@
     private final Engines engines;
     private final Loop loop;
     private final Fleet fleet;
-    private final Book book;
+    private final RequestRegistry registry;
     private final Relay relay;
     private final int maxAttempts;
-    private final Set<Entry> touched = new LinkedHashSet<>();
+    private final Set<ActiveRequest> touched = new LinkedHashSet<>();
     private Route route;
-    private Consumer<Entry> gone;
+    private Consumer<ActiveRequest> gone;
 
-    Send(Engines engines, Loop loop, Fleet fleet, Book book, Relay relay, int maxAttempts) {
+    AttemptRunner(Engines engines, Loop loop, Fleet fleet, RequestRegistry registry, Relay relay, int maxAttempts) {
         this.engines = engines;
         this.loop = loop;
         this.fleet = fleet;
-        this.book = book;
+        this.registry = registry;
         this.relay = relay;
         this.maxAttempts = maxAttempts;
     }
 
     /** Where attempts' ends are told, and who hears of a caller that is found to have left. */
-    void use(Route to, Consumer<Entry> whenGone) {
+    void use(Route to, Consumer<ActiveRequest> whenGone) {
         route = to;
         gone = whenGone;
     }
 
     void attempt(Router.Send order) {
-        Entry entry = book.find(order.id());
-        if (entry == null) return;
-        Entry.Try attempt = new Entry.Try(entry, order.engine(), fleet.reader(order.engine()), loop.nowMs());
-        entry.tries.add(attempt);
-        if (!entry.answered && entry.caller.hasLeft()) gone.accept(entry);
-        double until = order.untilMs() > 0 ? Math.min(order.untilMs(), entry.deadlineMs) : entry.deadlineMs;
+        ActiveRequest active = registry.find(order.id());
+        if (active == null) return;
+        ActiveRequest.Attempt attempt = new ActiveRequest.Attempt(active, order.engine(), fleet.reader(order.engine()),
+                loop.nowMs());
+        active.attempts.add(attempt);
+        if (!active.answered && active.caller.hasLeft()) gone.accept(active);
+        double until = order.untilMs() > 0 ? Math.min(order.untilMs(), active.deadlineMs) : active.deadlineMs;
         // Guards against a send for what is over, or to an engine that the list has told to leave alone.
-        if (entry.answered || until <= loop.nowMs() || attempt.number >= maxAttempts || !fleet.ready(order.engine())) {
+        if (active.answered || until <= loop.nowMs() || attempt.number >= maxAttempts || !fleet.ready(order.engine())) {
             ended(attempt, Outcome.NOT_SENT, 0);
             return;
         }
         attempt.timeout = loop.at(until, () -> cut(attempt, Outcome.TIMEOUT));
-        attempt.sending = engines.send(order.engine(), entry.ask, until, new Engines.Answer() {
+        attempt.sending = engines.send(order.engine(), active.request, until, new Engines.Answer() {
             @Override
             public void event(byte[] event) {
                 if (!attempt.ended) heard(attempt, event);
@@ -65,32 +66,32 @@
 
             @Override
             public void ended(Outcome outcome, double kept) {
-                Send.this.ended(attempt, outcome, kept);
+                AttemptRunner.this.ended(attempt, outcome, kept);
             }
         });
         if (order.startByMs() < until) loop.at(order.startByMs(), () -> withdraw(attempt));
     }
 
     /** Takes an attempt back while not a byte of it has gone out. */
-    private void withdraw(Entry.Try attempt) {
+    private void withdraw(ActiveRequest.Attempt attempt) {
         if (!attempt.ended && attempt.sending.unsent()) cut(attempt, Outcome.UNREACHABLE);
     }
 
-    private void heard(Entry.Try attempt, byte[] event) {
-        Entry entry = attempt.entry;
+    private void heard(ActiveRequest.Attempt attempt, byte[] event) {
+        ActiveRequest active = attempt.active;
         attempt.heardMs = loop.nowMs();
-        if (entry.winner == null && !entry.answered) {
-            entry.winner = attempt;
+        if (active.winner == null && !active.answered) {
+            active.winner = attempt;
             attempt.timeout.cancel();
             watch(attempt, STALL_MS);
-            entry.guard.cancel();
+            active.guard.cancel();
             // What is held goes with the first token, but not what a reader that was cut off holds later.
-            entry.mayHold.retainAll(entry.cutReadsMs.keySet());
-            entry.holds.clear();
-            route.tell(new Router.FirstToken(entry.number, attempt.number, attempt.engine,
+            active.mayHold.retainAll(active.cutReadsMs.keySet());
+            active.holds.clear();
+            route.tell(new Router.FirstToken(active.number, attempt.number, attempt.engine,
                     loop.nowMs() - attempt.sentMs));
         }
-        if (entry.winner == attempt) relay.event(attempt, event);
+        if (active.winner == attempt) relay.event(attempt, event);
         else cut(attempt, Outcome.CANCELLED);
     }
 
@@ -98,7 +99,7 @@
      * Guards against an engine that falls silent in the middle of a stream: its connection stays open, no deadline
      * runs any more, and the client would wait for good instead of asking for the rest elsewhere.
      */
-    private void watch(Entry.Try attempt, double afterMs) {
+    private void watch(ActiveRequest.Attempt attempt, double afterMs) {
         attempt.timeout = loop.at(loop.nowMs() + afterMs, () -> {
             double quietMs = attempt.paused ? 0 : loop.nowMs() - attempt.heardMs;
             if (quietMs >= STALL_MS) cut(attempt, Outcome.RESET);
@@ -110,27 +111,27 @@
      * Guards against a request that no engine can use: sent to one after another it would use up all its attempts,
      * and the module would hold each of them to be failing.
      */
-    private void reject(Entry.Try attempt) {
-        Entry entry = attempt.entry;
-        boolean last = book.answer(entry);
+    private void reject(ActiveRequest.Attempt attempt) {
+        ActiveRequest active = attempt.active;
+        boolean last = registry.answer(active);
         ended(attempt, Outcome.CANCELLED, 0);
         if (!last) return;
-        cutAll(entry);
-        route.tell(new Router.Abandoned(entry.number));
-        entry.caller.fail(Caller.Why.INVALID);
+        cutAll(active);
+        route.tell(new Router.Abandoned(active.number));
+        active.caller.fail(Caller.Why.INVALID);
     }
 
     /** Calls an attempt off, unless its stream is the caller's already. */
     void cancel(Router.Cancel order) {
-        Entry entry = book.find(order.id());
-        if (entry == null || order.attempt() >= entry.tries.size()) return;
-        Entry.Try attempt = entry.tries.get(order.attempt());
-        if (entry.winner != attempt) callOff(attempt);
+        ActiveRequest active = registry.find(order.id());
+        if (active == null || order.attempt() >= active.attempts.size()) return;
+        ActiveRequest.Attempt attempt = active.attempts.get(order.attempt());
+        if (active.winner != attempt) callOff(attempt);
     }
 
     /** The caller has left: nobody reads a stream either. */
-    void cutAll(Entry entry) {
-        for (Entry.Try attempt : List.copyOf(entry.tries)) callOff(attempt);
+    void cutAll(ActiveRequest active) {
+        for (ActiveRequest.Attempt attempt : List.copyOf(active.attempts)) callOff(attempt);
     }
 
     /**
@@ -138,10 +139,10 @@
      * reader that fell silent: with no attempt out, the state would count as pinned before it could be let go. That
      * goes for a read at another reader, too, which is under way because a writer could not reach the first.
      */
-    private void callOff(Entry.Try attempt) {
-        Entry entry = attempt.entry;
+    private void callOff(ActiveRequest.Attempt attempt) {
+        ActiveRequest active = attempt.active;
         if (attempt.ended || attempt.lingers || attempt.sending == null) return;
-        attempt.lingers = entry.answered && entry.winner != attempt && !entry.holds.isEmpty()
+        attempt.lingers = active.answered && active.winner != attempt && !active.holds.isEmpty()
                 && !attempt.sending.unsent();
         if (!attempt.lingers) {
             cut(attempt, Outcome.CANCELLED);
@@ -150,54 +151,54 @@
         attempt.timeout.cancel();
         double untilMs = loop.nowMs() + LINGER_MS;
         attempt.timeout = loop.at(untilMs, () -> cut(attempt, Outcome.CANCELLED));
-        for (long engine : List.copyOf(entry.holds)) {
-            engines.release(engine, entry.ask.id(), untilMs, () -> cut(attempt, Outcome.CANCELLED));
+        for (long engine : List.copyOf(active.holds)) {
+            engines.release(engine, active.request.id(), untilMs, () -> cut(attempt, Outcome.CANCELLED));
         }
     }
 
     /** What has not left this machine must not follow the news that its engine wants nothing more. */
     void withdrawUnsent() {
-        for (Entry entry : book.all()) {
+        for (ActiveRequest active : registry.all()) {
             // A copy, as the module may answer the end of one with another.
-            for (Entry.Try attempt : List.copyOf(entry.tries)) {
+            for (ActiveRequest.Attempt attempt : List.copyOf(active.attempts)) {
                 if (!fleet.ready(attempt.engine)) withdraw(attempt);
             }
         }
     }
 
-    private void cut(Entry.Try attempt, Outcome outcome) {
+    private void cut(ActiveRequest.Attempt attempt, Outcome outcome) {
         if (attempt.ended) return;
         Outcome proven = attempt.sending.unsent() && outcome == Outcome.CANCELLED ? Outcome.NOT_SENT : outcome;
         attempt.sending.abort();
-        if (attempt.reader && !proven.neverRan) attempt.entry.cutReadsMs.put(attempt.engine, loop.nowMs());
+        if (attempt.reader && !proven.neverRan) attempt.active.cutReadsMs.put(attempt.engine, loop.nowMs());
         ended(attempt, proven, 0);
     }
 
-    private void ended(Entry.Try attempt, Outcome outcome, double kept) {
+    private void ended(ActiveRequest.Attempt attempt, Outcome outcome, double kept) {
         if (attempt.ended) return;
         attempt.ended = true;
         attempt.outcome = outcome;
         attempt.endedMs = loop.nowMs();
-        touched.add(attempt.entry);
+        touched.add(attempt.active);
         if (attempt.timeout != null) attempt.timeout.cancel();
-        Entry entry = attempt.entry;
+        ActiveRequest active = attempt.active;
         boolean read = outcome == Outcome.READ;
-        if (read) entry.holds.add(attempt.engine);
+        if (read) active.holds.add(attempt.engine);
         // A read that was cut off may have ended well just then.
-        if (read || attempt.reader && !outcome.neverRan) entry.mayHold.add(attempt.engine);
+        if (read || attempt.reader && !outcome.neverRan) active.mayHold.add(attempt.engine);
         // An answer may be whole without an event; it is the caller's all the same.
-        if (outcome == Outcome.SERVED && entry.winner == null && !entry.answered) entry.winner = attempt;
-        if (entry.winner == attempt) relay.ended(attempt, outcome);
-        route.tell(new Router.Ended(entry.number, attempt.number, attempt.engine, outcome,
-                loop.nowMs() - attempt.sentMs, kept, entry.answered, UNTOLD));
+        if (outcome == Outcome.SERVED && active.winner == null && !active.answered) active.winner = attempt;
+        if (active.winner == attempt) relay.ended(attempt, outcome);
+        route.tell(new Router.Ended(active.number, attempt.number, attempt.engine, outcome,
+                loop.nowMs() - attempt.sentMs, kept, active.answered, UNTOLD));
     }
 
     /**
-     * Closes the books on attempts that ended, once the module has said all that it wants. Guards against letting
+     * Settles the requests of attempts that ended, once the module has said all that it wants. Guards against letting
      * go of a cut read's state at a reader to which the module sends the same request in its next breath.
      */
     void settle() {
-        touched.forEach(book::settle);
+        touched.forEach(registry::settle);
         touched.clear();
     }
 }
--- a/src/main/java/maplerail/core/Broker.java
+++ b/src/main/java/maplerail/core/Broker.java
@@ -6,20 +6,20 @@
 
 /**
  * Drives one decision module on one event loop. A request passes the stages admission, quotas, route, send,
- * relay and book; the broker knows requests, attempts and outcomes and no wire. All calls are made on the loop.
+ * relay and registry; the broker knows requests, attempts and outcomes and no wire. All calls are made on the loop.
  */
 public final class Broker {
     private static final double GUARD_MS = 4; // past a deadline; the module answers before it
 
     private final Loop loop;
     private final Fleet fleet;
-    private final Book book;
+    private final RequestRegistry registry;
     private final Admission admission;
     private final Quotas quotas;
     private final Route route;
-    private final Send send;
+    private final AttemptRunner runner;
     private final Relay relay;
-    private final Trail trail;
+    private final FailureLog failureLog;
     private final Consumer<String> log;
 
     /** Makes a broker round a module that has just come up with these settings. */
@@ -29,57 +29,59 @@
         this.log = log;
         fleet = new Fleet(settings.kinds());
         this.quotas = quotas;
-        book = new Book(engines, loop, quotas, settings.rules().pinLimitMs());
-        admission = new Admission(loop, book);
-        trail = new Trail(loop, log);
-        relay = new Relay(book, loop, trail);
-        send = new Send(engines, loop, fleet, book, relay, settings.limits().maxAttempts());
-        route = new Route(router, loop, this::perform, send::settle, log);
-        send.use(route, this::gone);
+        registry = new RequestRegistry(engines, loop, quotas, settings.rules().pinLimitMs());
+        admission = new Admission(loop, registry);
+        failureLog = new FailureLog(loop, log);
+        relay = new Relay(registry, loop, failureLog);
+        runner = new AttemptRunner(engines, loop, fleet, registry, relay, settings.limits().maxAttempts());
+        route = new Route(router, loop, this::perform, runner::settle, log);
+        runner.use(route, this::gone);
     }
 
     /** Takes a request; its caller gets its one final answer in any case. */
-    public RequestHandle take(Ask ask, Caller caller) {
-        Entry entry = admission.take(ask, caller);
-        if (entry == null) {
+    public RequestHandle take(ServiceRequest request, Caller caller) {
+        ActiveRequest active = admission.take(request, caller);
+        if (active == null) {
             caller.fail(Why.DUPLICATE);
             return new Closed();
         }
-        Quotas.Denied denied = quotas.check(ask);
+        Quotas.Denied denied = quotas.check(request);
         if (denied != null) {
-            book.answer(entry);
-            book.settle(entry);
-            trail.bad(entry, "not admitted (" + denied.why() + ")");
+            registry.answer(active);
+            registry.settle(active);
+            failureLog.bad(active, "not admitted (" + denied.why() + ")");
             caller.refuse(denied.why(), denied.retryAfterMs());
             return new Closed();
         }
-        entry.admitted = true;
-        entry.guard = loop.at(entry.deadlineMs + GUARD_MS, () -> overdue(entry));
-        route.tell(new Router.Arrival(entry.number, ask.kind(), ask.tenant(), ask.session(), ask.promptTokens(),
-                ask.prefix(), ask.prefixTokens(), ask.budgetMs(), ask.maxOutput(), ask.hintMs(), ask.resumed()));
-        return new Open(entry);
+        active.admitted = true;
+        active.guard = loop.at(active.deadlineMs + GUARD_MS, () -> overdue(active));
+        route.tell(new Router.Arrival(active.number, request.kind(), request.tenant(), request.session(),
+                request.promptTokens(),
+                request.prefix(), request.prefixTokens(), request.budgetMs(), request.maxOutput(), request.hintMs(),
+                request.resumed()));
+        return new Open(active);
     }
 
     /** News of the engines; what has not gone out yet obeys it too. */
     public void members(Router.Members news) {
         fleet.hear(news);
         route.tell(news);
-        send.withdrawUnsent();
+        runner.withdrawUnsent();
     }
 
     /** Requests that still wait for their final answer. */
     public int unanswered() {
-        return book.unanswered();
+        return registry.unanswered();
     }
 
     /** Requests of which anything is still remembered. */
     public int remembered() {
-        return book.size();
+        return registry.size();
     }
 
     private void perform(Router.Action action) {
-        if (action instanceof Router.Send order) send.attempt(order);
-        else if (action instanceof Router.Cancel order) send.cancel(order);
+        if (action instanceof Router.Send order) runner.attempt(order);
+        else if (action instanceof Router.Cancel order) runner.cancel(order);
         else if (action instanceof Router.Release order) release(order.id());
         else if (action instanceof Router.Refuse refuse) refuse(refuse);
         else if (action instanceof Router.Fail fail) fail(fail.id(), Why.ENGINE);
@@ -90,41 +92,41 @@
     }
 
     private void release(long number) {
-        Entry entry = book.find(number);
-        if (entry != null) book.release(entry);
+        ActiveRequest active = registry.find(number);
+        if (active != null) registry.release(active);
     }
 
     private void refuse(Router.Refuse order) {
-        Entry entry = book.find(order.id());
-        if (entry == null || !book.answer(entry)) return;
-        book.settle(entry);
-        trail.bad(entry, "refused");
-        entry.caller.refuse(Why.OVERLOAD, order.retryAfterMs());
+        ActiveRequest active = registry.find(order.id());
+        if (active == null || !registry.answer(active)) return;
+        registry.settle(active);
+        failureLog.bad(active, "refused");
+        active.caller.refuse(Why.OVERLOAD, order.retryAfterMs());
     }
 
     private void fail(long number, Why why) {
-        Entry entry = book.find(number);
-        if (entry == null || !book.answer(entry)) return;
-        book.settle(entry);
-        trail.bad(entry, why == Why.DEADLINE ? "not answered by its deadline" : "failed");
-        entry.caller.fail(why);
+        ActiveRequest active = registry.find(number);
+        if (active == null || !registry.answer(active)) return;
+        registry.settle(active);
+        failureLog.bad(active, why == Why.DEADLINE ? "not answered by its deadline" : "failed");
+        active.caller.fail(why);
     }
 
     /** The module gave no answer in time: nothing may be late for want of one. */
-    private void overdue(Entry entry) {
-        if (entry.answered || entry.winner != null) return;
-        fail(entry.number, Why.DEADLINE);
-        leave(entry);
+    private void overdue(ActiveRequest active) {
+        if (active.answered || active.winner != null) return;
+        fail(active.number, Why.DEADLINE);
+        leave(active);
     }
 
-    private void gone(Entry entry) {
-        if (book.answer(entry)) leave(entry);
+    private void gone(ActiveRequest active) {
+        if (registry.answer(active)) leave(active);
     }
 
-    private void leave(Entry entry) {
-        route.tell(new Router.Abandoned(entry.number));
-        send.cutAll(entry);
-        book.settle(entry);
+    private void leave(ActiveRequest active) {
+        route.tell(new Router.Abandoned(active.number));
+        runner.cutAll(active);
+        registry.settle(active);
     }
 
     /** A request that was never open, or no longer is. */
@@ -137,20 +139,20 @@
     }
 
     private final class Open implements RequestHandle {
-        private final Entry entry;
+        private final ActiveRequest active;
 
-        Open(Entry entry) {
-            this.entry = entry;
+        Open(ActiveRequest active) {
+            this.active = active;
         }
 
         @Override
         public void gone() {
-            Broker.this.gone(entry);
+            Broker.this.gone(active);
         }
 
         @Override
         public void writable() {
-            relay.writable(entry);
+            relay.writable(active);
         }
     }
 }
--- a/src/main/java/maplerail/core/Engines.java
+++ b/src/main/java/maplerail/core/Engines.java
@@ -5,7 +5,7 @@
 /** The port through which attempts go out. It must never make an attempt twice on its own. */
 public interface Engines {
     /** Makes one attempt. The answer hears exactly one {@code ended}, never before this call returns. */
-    Sending send(long engine, Ask ask, double untilMs, Answer answer);
+    Sending send(long engine, ServiceRequest request, double untilMs, Answer answer);
 
     /** Lets go of what an engine holds for a request, trying again up to a time; tells once if the engine answers. */
     void release(long engine, String id, double untilMs, Runnable answered);
--- a/src/main/java/maplerail/core/Trail.java
+++ b/src/main/java/maplerail/core/FailureLog.java
@@ -7,7 +7,7 @@
  * and outcome. Whoever looks into a bad day can follow one request from first to last by it. Bounded, so that a bad
  * second does not cost the processor time that it lacks most.
  */
-final class Trail {
+final class FailureLog {
     private static final int MOST_LINES = 20; // in a window: enough to follow some, too few to cost anything
     private static final double WINDOW_MS = 1_000;
 
@@ -16,13 +16,13 @@
     private double windowMs = Double.NEGATIVE_INFINITY;
     private int lines;
 
-    Trail(Loop loop, Consumer<String> log) {
+    FailureLog(Loop loop, Consumer<String> log) {
         this.loop = loop;
         this.log = log;
     }
 
     /** Tells of a request that was not served whole. */
-    void bad(Entry entry, String end) {
+    void bad(ActiveRequest active, String end) {
         double now = loop.nowMs();
         if (now - windowMs >= WINDOW_MS) {
             if (lines > MOST_LINES) log.accept("requests ended badly and not told: " + (lines - MOST_LINES));
@@ -30,11 +30,12 @@
             lines = 0;
         }
         if (++lines > MOST_LINES) return;
-        double takenMs = entry.deadlineMs - entry.ask.budgetMs();
-        StringBuilder line = new StringBuilder(160).append("request ").append(entry.ask.id()).append(" kind ")
-                .append(entry.ask.kind()).append(' ').append(end).append(" after ").append(Math.round(now - takenMs))
-                .append(" of ").append(Math.round(entry.ask.budgetMs())).append(" ms;");
-        for (Entry.Try attempt : entry.tries) {
+        double takenMs = active.deadlineMs - active.request.budgetMs();
+        StringBuilder line = new StringBuilder(160).append("request ").append(active.request.id()).append(" kind ")
+                .append(active.request.kind()).append(' ').append(end).append(" after ")
+                .append(Math.round(now - takenMs))
+                .append(" of ").append(Math.round(active.request.budgetMs())).append(" ms;");
+        for (ActiveRequest.Attempt attempt : active.attempts) {
             line.append(attempt.reader ? " read " : " write ").append(Long.toHexString(attempt.engine)).append(" at ")
                     .append(Math.round(attempt.sentMs - takenMs)).append(' ')
                     .append(attempt.outcome == null ? "out" : attempt.outcome).append(" in ")
--- a/src/main/java/maplerail/core/Quotas.java
+++ b/src/main/java/maplerail/core/Quotas.java
@@ -41,14 +41,15 @@
     }
 
     /** Null if it may go on; it then counts as in flight until {@link #left}. */
-    Denied check(Ask ask) {
-        if (ask.kind() < budgets.contracts().size() && ask.size() > budgets.contracts().get(ask.kind()).maxBytes()) {
+    Denied check(ServiceRequest request) {
+        if (request.kind() < budgets.contracts().size()
+                && request.size() > budgets.contracts().get(request.kind()).maxBytes()) {
             return new Denied(Why.INVALID, 0);
         }
         if (behindMs >= BEHIND_MS) return new Denied(Why.OVERLOAD, CATCH_UP_MS);
         if (open >= budgets.maxOpen()) return new Denied(Why.OVERLOAD, BUSY_MS);
-        if (ask.tenant() < budgets.teams().size()) {
-            Denied denied = charge(budgets.teams().get(ask.tenant()), accountOf(ask.tenant()));
+        if (request.tenant() < budgets.teams().size()) {
+            Denied denied = charge(budgets.teams().get(request.tenant()), accountOf(request.tenant()));
             if (denied != null) return denied;
         }
         open++;
@@ -81,9 +82,9 @@
         return null;
     }
 
-    void left(Ask ask) {
+    void left(ServiceRequest request) {
         open--;
-        if (ask.tenant() < budgets.teams().size()) accountOf(ask.tenant()).inFlight--;
+        if (request.tenant() < budgets.teams().size()) accountOf(request.tenant()).inFlight--;
     }
 
     private Account accountOf(int tenant) {
--- a/src/main/java/maplerail/core/Relay.java
+++ b/src/main/java/maplerail/core/Relay.java
@@ -4,39 +4,39 @@
 
 /** Fifth stage: passes the events of the one attempt that became the caller's, as they come. */
 final class Relay {
-    private final Book book;
+    private final RequestRegistry registry;
     private final Loop loop;
-    private final Trail trail;
+    private final FailureLog failureLog;
 
-    Relay(Book book, Loop loop, Trail trail) {
-        this.book = book;
+    Relay(RequestRegistry registry, Loop loop, FailureLog failureLog) {
+        this.registry = registry;
         this.loop = loop;
-        this.trail = trail;
+        this.failureLog = failureLog;
     }
 
-    void event(Entry.Try attempt, byte[] event) {
-        if (attempt.entry.answered) return;
-        if (attempt.entry.caller.event(event)) return;
+    void event(ActiveRequest.Attempt attempt, byte[] event) {
+        if (attempt.active.answered) return;
+        if (attempt.active.caller.event(event)) return;
         attempt.paused = true;
         attempt.sending.pause();
     }
 
-    void writable(Entry entry) {
-        if (entry.winner == null || entry.winner.ended) return;
-        entry.winner.paused = false;
-        entry.winner.heardMs = loop.nowMs();
-        entry.winner.sending.resume();
+    void writable(ActiveRequest active) {
+        if (active.winner == null || active.winner.ended) return;
+        active.winner.paused = false;
+        active.winner.heardMs = loop.nowMs();
+        active.winner.sending.resume();
     }
 
     /** Only a stream that came to its end is whole; any other must not look so. */
-    void ended(Entry.Try attempt, Outcome outcome) {
-        Entry entry = attempt.entry;
-        if (!book.answer(entry)) return;
+    void ended(ActiveRequest.Attempt attempt, Outcome outcome) {
+        ActiveRequest active = attempt.active;
+        if (!registry.answer(active)) return;
         if (outcome == Outcome.SERVED) {
-            entry.caller.end();
+            active.caller.end();
             return;
         }
-        trail.bad(entry, "broken");
-        entry.caller.broken();
+        failureLog.bad(active, "broken");
+        active.caller.broken();
     }
 }
--- a/src/main/java/maplerail/front/jsonrpc/Answers.java
+++ b/src/main/java/maplerail/front/jsonrpc/Answers.java
@@ -13,7 +13,7 @@
 import maplerail.config.Json;
 import maplerail.config.Names;
 import maplerail.config.Tree;
-import maplerail.core.Ask;
+import maplerail.core.ServiceRequest;
 import maplerail.core.Broker;
 import maplerail.core.RequestHandle;
 import maplerail.net.HttpPayload;
@@ -52,9 +52,10 @@
         add(headers, "Req-Owner", team);
         if (key.matches("[0-9A-Za-z._~-]{1,128}")) add(headers, "Req-Key", key);
         headers.add(new SimpleImmutableEntry<>(Headers.CONTENT_TYPE, "application/json"));
-        Ask ask = new Ask(id, place, tenant, EngineIds.key(key), prompt, 0, 0, deadlineMs, most, 0, false, body.length,
+        ServiceRequest request = new ServiceRequest(id, place, tenant, EngineIds.key(key), prompt, 0, 0, deadlineMs,
+                most, 0, false, body.length,
                 new HttpPayload(io.undertow.util.Methods.POST, "/v1/chat/completions", headers, body));
-        return broker.take(ask, new AnswerCaller(pending));
+        return broker.take(request, new AnswerCaller(pending));
     }
 
     private static double figure(Tree number, double most) {
--- a/src/main/java/maplerail/front/jsonrpc/Tools.java
+++ b/src/main/java/maplerail/front/jsonrpc/Tools.java
@@ -8,7 +8,7 @@
 import maplerail.config.Json;
 import maplerail.config.Tree;
 import maplerail.config.ToolsConfig;
-import maplerail.core.Ask;
+import maplerail.core.ServiceRequest;
 import maplerail.core.Broker;
 import maplerail.core.RequestHandle;
 import maplerail.net.ToolPayload;
@@ -40,10 +40,11 @@
                 + ",\"method\":\"tools/call\",\"params\":{\"name\":"
                 + Json.quote(name) + ",\"arguments\":" + arguments + "}}").getBytes(StandardCharsets.UTF_8);
         int size = arguments.getBytes(StandardCharsets.UTF_8).length;
-        Ask ask = new Ask(id, tool.contract(), team, 0, size / TOKEN_BYTES, 0, 0, contract.deadlineMs(),
+        ServiceRequest request = new ServiceRequest(id, tool.contract(), team, 0, size / TOKEN_BYTES, 0, 0,
+                contract.deadlineMs(),
                 contract.mostReply() / TOKEN_BYTES, 0, false, size,
                 new ToolPayload(config.services().get(tool.service()).path(), body, contract.mostReply()));
-        return services.get(tool.service()).take(ask, new ToolCaller(pending));
+        return services.get(tool.service()).take(request, new ToolCaller(pending));
     }
 
     String list() {
--- a/src/main/java/maplerail/front/platform/PlatformFront.java
+++ b/src/main/java/maplerail/front/platform/PlatformFront.java
@@ -8,7 +8,7 @@
 import io.undertow.util.Methods;
 import io.undertow.util.SameThreadExecutor;
 import maplerail.config.Names;
-import maplerail.core.Ask;
+import maplerail.core.ServiceRequest;
 import maplerail.core.Broker;
 import maplerail.core.Caller;
 import maplerail.core.Lifecycle;
@@ -93,9 +93,9 @@
             answer.say(413, "the body is too large");
             return;
         }
-        Ask ask;
+        ServiceRequest request;
         try {
-            ask = reader.read(exchange, body);
+            request = reader.read(exchange, body);
         } catch (RequestReader.BadRequest e) {
             answer.say(400, e.getMessage());
             return;
@@ -108,6 +108,6 @@
         }
         // Whoever sent a request and left again must not be served before anybody looks.
         answer.watch();
-        if (!answer.over()) answer.hold(broker.take(ask, answer));
+        if (!answer.over()) answer.hold(broker.take(request, answer));
     }
 }
--- a/src/main/java/maplerail/front/platform/RequestReader.java
+++ b/src/main/java/maplerail/front/platform/RequestReader.java
@@ -12,10 +12,10 @@
 import java.util.Set;
 import maplerail.config.EngineIds;
 import maplerail.config.Names;
-import maplerail.core.Ask;
+import maplerail.core.ServiceRequest;
 import maplerail.net.HttpPayload;
 
-/** Turns a client's headers and body into an {@link Ask}; says what is wrong with one that it can't be made of. */
+/** Turns headers and body into a {@link ServiceRequest}; says what is wrong where that cannot be done. */
 final class RequestReader {
     private static final double TOKEN_BYTES = 4;
     private static final double MOST_S = 3_600; // that a client may say it waits
@@ -39,7 +39,7 @@
         }
     }
 
-    Ask read(HttpServerExchange exchange, byte[] body) throws BadRequest {
+    ServiceRequest read(HttpServerExchange exchange, byte[] body) throws BadRequest {
         String id = need(exchange, "Req-Id");
         if (!id.matches("[0-9A-Za-z._~-]{1,128}")) throw new BadRequest("Req-Id: not an id");
         int kind = place(names.classes(), need(exchange, "Req-Kind"), "Req-Kind");
@@ -52,7 +52,8 @@
         double most = tokens(extra, "max_out", 0);
         String hint = exchange.getRequestHeaders().getFirst("Req-Cost");
         boolean again = "again".equals(exchange.getRequestHeaders().getFirst("Req-Retry"));
-        return new Ask(id, kind, tenant, EngineIds.key(exchange.getRequestHeaders().getFirst("Req-Key")), prompt,
+        return new ServiceRequest(id, kind, tenant, EngineIds.key(exchange.getRequestHeaders().getFirst("Req-Key")),
+                prompt,
                 prefix, prefix == 0 ? 0 : tokens(extra, "prefix_len", 0), budgetMs, most,
                 hint == null ? 0 : number(hint, "Req-Cost", MOST_S * 1_000), again, body.length,
                 new HttpPayload(exchange.getRequestMethod(), target(exchange), headers(exchange), body));
--- a/src/main/java/maplerail/net/Sent.java
+++ b/src/main/java/maplerail/net/CallSending.java
@@ -3,7 +3,7 @@
 import maplerail.core.Engines;
 
 /** A {@link Call} as the core sees it. */
-record Sent(Call call) implements Engines.Sending {
+record CallSending(Call call) implements Engines.Sending {
     @Override
     public boolean unsent() {
         return call.unsent();
--- a/src/main/java/maplerail/net/EngineClient.java
+++ b/src/main/java/maplerail/net/EngineClient.java
@@ -15,7 +15,7 @@
 import maplerail.Router.Outcome;
 import maplerail.config.ConfigException;
 import maplerail.config.Tree;
-import maplerail.core.Ask;
+import maplerail.core.ServiceRequest;
 import maplerail.core.Engines;
 import maplerail.core.Loop;
 
@@ -42,11 +42,11 @@
     }
 
     @Override
-    public Sending send(long engine, Ask ask, double untilMs, Answer answer) {
-        HttpPayload payload = (HttpPayload) ask.payload();
+    public Sending send(long engine, ServiceRequest request, double untilMs, Answer answer) {
+        HttpPayload payload = (HttpPayload) request.payload();
         InetSocketAddress to = addresses.get(engine);
         Call call = pool.start(to, () -> request(to, payload, untilMs), payload.body(), new Incoming(answer));
-        return new Sent(call);
+        return new CallSending(call);
     }
 
     /** A client's request as it goes out now: the deadline that it tells is the time that is left. */
--- a/src/main/java/maplerail/net/ToolClient.java
+++ b/src/main/java/maplerail/net/ToolClient.java
@@ -13,7 +13,7 @@
 import java.util.Locale;
 import java.util.Map;
 import maplerail.Router.Outcome;
-import maplerail.core.Ask;
+import maplerail.core.ServiceRequest;
 import maplerail.core.Engines;
 
 /** Attempts at tool servers: one HTTP POST each, whose reply counts when it is whole. */
@@ -40,12 +40,12 @@
     }
 
     @Override
-    public Sending send(long engine, Ask ask, double untilMs, Answer answer) {
-        ToolPayload payload = (ToolPayload) ask.payload();
+    public Sending send(long engine, ServiceRequest request, double untilMs, Answer answer) {
+        ToolPayload payload = (ToolPayload) request.payload();
         InetSocketAddress to = addresses.get(engine);
         Incoming incoming = new Incoming(answer, payload.mostReply());
-        incoming.call = pool.start(to, () -> request(to, ask.id(), payload, untilMs), payload.message(), incoming);
-        return new Sent(incoming.call);
+        incoming.call = pool.start(to, () -> request(to, request.id(), payload, untilMs), payload.message(), incoming);
+        return new CallSending(incoming.call);
     }
 
     private ClientRequest request(InetSocketAddress to, String id, ToolPayload payload, double untilMs) {
--- a/src/test/java/maplerail/core/BrokerTest.java
+++ b/src/test/java/maplerail/core/BrokerTest.java
@@ -124,7 +124,7 @@
                 new Router.Limits(5, true, true, true, 1_000, false), new Router.Rules(8, pinLimitMs, 1, 1, 1, 1, 1));
         Engines engines = new Engines() {
             @Override
-            public Sending send(long engine, Ask ask, double untilMs, Answer answer) {
+            public Sending send(long engine, ServiceRequest request, double untilMs, Answer answer) {
                 out.add(new Out(answer));
                 return out.get(out.size() - 1);
             }
@@ -156,7 +156,7 @@
 
     private RequestHandle take(String id, Router.Action... actions) {
         next.addAll(List.of(actions));
-        return broker.take(new Ask(id, 0, 0, 0, 10, 0, 0, 5_000, 10, 0, false, 10, null), new Caller() {
+        return broker.take(new ServiceRequest(id, 0, 0, 0, 10, 0, 0, 5_000, 10, 0, false, 10, null), new Caller() {
             @Override
             public boolean hasLeft() {
                 return left;
@@ -521,11 +521,11 @@
     @Test
     void aTeamsRateComesBackWithTime() {
         Quotas quotas = new Quotas(new Budgets(9, List.of(), List.of(new Budgets.Budget(2, 9))), loop, line -> {});
-        Ask ask = new Ask("a", 0, 0, 0, 0, 0, 0, 1, 0, 0, false, 0, null);
-        assertThat(quotas.check(ask)).isNull();
-        assertThat(quotas.check(ask)).isNull();
-        assertThat(quotas.check(ask)).isEqualTo(new Quotas.Denied(Caller.Why.BUDGET, 500));
+        ServiceRequest request = new ServiceRequest("a", 0, 0, 0, 0, 0, 0, 1, 0, 0, false, 0, null);
+        assertThat(quotas.check(request)).isNull();
+        assertThat(quotas.check(request)).isNull();
+        assertThat(quotas.check(request)).isEqualTo(new Quotas.Denied(Caller.Why.BUDGET, 500));
         loop.until(1_500);
-        assertThat(quotas.check(ask)).isNull();
+        assertThat(quotas.check(request)).isNull();
     }
 }
--- a/src/test/java/maplerail/net/EngineClientTest.java
+++ b/src/test/java/maplerail/net/EngineClientTest.java
@@ -10,7 +10,7 @@
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
 import maplerail.Router.Outcome;
-import maplerail.core.Ask;
+import maplerail.core.ServiceRequest;
 import maplerail.core.Engines;
 import maplerail.support.StandIn;
 import maplerail.support.World;
@@ -48,9 +48,9 @@
         return client;
     }
 
-    private static Ask ask(String id) {
+    private static ServiceRequest request(String id) {
         HttpPayload payload = new HttpPayload(Methods.POST, "/" + id, List.of(), new byte[0]);
-        return new Ask(id, 0, 0, 0, 10, 0, 0, 10_000, 10, 0, false, 0, payload);
+        return new ServiceRequest(id, 0, 0, 0, 10, 0, 0, 10_000, 10, 0, false, 0, payload);
     }
 
     private final class Heard implements Engines.Answer {
@@ -76,9 +76,9 @@
             EngineClient client = client(engine, 1);
             double startMs = loop.nowMs();
             double untilMs = startMs + 60_000;
-            loop.execute(() -> client.send(ENGINE, ask("first"), untilMs, new Heard()));
+            loop.execute(() -> client.send(ENGINE, request("first"), untilMs, new Heard()));
             StandIn.Exchange first = take(asked);
-            loop.execute(() -> client.send(ENGINE, ask("second"), untilMs, new Heard()));
+            loop.execute(() -> client.send(ENGINE, request("second"), untilMs, new Heard()));
             await("time has passed", () -> loop.nowMs() >= startMs + 400);
             double writtenAfterMs = loop.nowMs();
             first.reply(202, "");
