Name the module's statistics, cached prefixes and timers by the terms of the field

Among others Usual is RoleStats, Holding CachedPrefix, Alarm TimerKind with RESELECT for LOOK, sane clamp, judge recordOutcome, standIn expectedOutput, warm countArrival, heatOf seenOf. No behaviour changes.

--- a/src/main/java/maplerail/Logic.java
+++ b/src/main/java/maplerail/Logic.java
@@ -26,7 +26,7 @@
 public final class Logic implements Router {
 
     private static final double QUANTUM = 40_000; // tokens; what every counter of a client grows by (design)
-    private static final double OUTPUT_WEIGHT = 2, STAND_IN = 0.5; // of output in the deficit; of the maximum
+    private static final double OUTPUT_WEIGHT = 2, OUTPUT_SHARE = 0.5; // in the deficit; of the maximum
     private static final double ENTRY_AGE = 20_000; // ms that a locality entry is believed (design)
     private static final double KEPT_SHARE = 0.5; // an entry drops when an answer finds less kept (design)
     private static final int MAX_KEYS = 20_000, MAX_HOLDERS = 8; // bounds on the tables, far above what lives
@@ -35,13 +35,13 @@
     private static final double HOME_SPREAD = 2, HOME_PRIOR = 8; // homes a reader's worth; arrivals assumed
     private static final double FAR_CELL = 0.04, FAR_ZONE = 0.08; // share of memory that a move out counts as
     private static final double WAIT_SHARE = 0.3; // of memory, for a wait as long as the aim: streams unseen
-    private static final double SANE = 1e7; // tokens or ms; nothing told is held to be longer
+    private static final double MOST_TOLD = 1e7; // tokens or ms; nothing told is held to be longer
     private static final double SAMPLES = 5, MEMORY_MS = 20_000; // a recent mean goes back so many, so long
     private static final double SILENCE = 0.6; // of a failure, for an answer that is overdue
     private static final double FAIL_LIMIT = 0.35; // failure rate of an outlier
     private static final double OUTLIER = 2.5, SLOW_OUTLIER = 4; // times the peers' median failures, pace
     private static final double MIN_RELATIVE = 0.7; // least relative speed, so that luck draws no herd
-    private static final double HURTING = 0.4; // share of the shortest aim from which being slow counts
+    private static final double SLOW_AT = 0.4; // share of the shortest aim from which being slow counts
     private static final double SPILL = 0.3; // share of the time to the aim that a matched reader may take
     private static final double ENOUGH = 3, SOME = 0.3; // samples to judge an engine; to count among peers
     private static final double REMARKABLE = 1.5; // relative pace that counts with fewer samples
@@ -56,7 +56,7 @@
     private static final double WAIT_MS = 2_000, POOL_MS = 8_000; // in which a wait of one, of all, fades
     private static final double ADMIT = 0.7, QUEUED = 0.2; // of an aim, for a first token; for queues alone
     private static final double SHARE_MS = 5_000; // of its share that a tenant may use at once
-    private static final double LOOK_MS = 25; // between two looks for an engine for a request that has none
+    private static final double RESELECT_MS = 25; // between two choices for a request that no engine can take
     private static final double MARGIN_TICKS = 3, MARGIN_MS = 4; // that a timer is set before its limit
     private static final double COLD_LOAD = 1.2, COLD_MOST = 0.8, RATE_MS = 10_000; // of a share; of the most
     private static final double SHUT_LOG_MS = 500; // between two lines on why admission is shut
@@ -65,8 +65,8 @@
     private enum Phase { READING, HOLDING, WRITING, STREAMING, DONE }
 
     /** What a timer is for; its place is the low part of the token. */
-    private enum Alarm {
-        DEADLINE, LOOK, PINNED, OVERDUE, ASK
+    private enum TimerKind {
+        DEADLINE, RESELECT, PINNED, OVERDUE, ASK
     }
 
     /** A mean of recent samples and the weight that they still have. */
@@ -86,7 +86,7 @@
     }
 
     /** What is usual in a role, for one step: medians, our answers by engine, and a cold one's part. */
-    private record Usual(double pace, double waitMs, double stream, double failures, double fairRate,
+    private record RoleStats(double pace, double waitMs, double stream, double failures, double fairRate,
             double coldShare) {}
 
     private final class Engine {
@@ -148,7 +148,7 @@
         final Arrival asked;
         final RequestClass kind;
         final int client;
-        final double aimMs, deadlineMs, standIn;
+        final double aimMs, deadlineMs, expectedOutput;
         final long session;
         /** Uniform in [0, 1): cold engines take the requests with the lowest ones. */
         final double draw = random.nextDouble();
@@ -176,21 +176,21 @@
             this.aimMs = now + kind.aimMs() + kind.aimMsPerToken() * asked.promptTokens();
             this.deadlineMs = now + asked.budgetMs();
             double hinted = kind.tokenAimMs() > 0 ? asked.hintMs() / kind.tokenAimMs() : 0;
-            this.standIn = hinted > 0 ? hinted : STAND_IN * asked.maxOutput();
+            this.expectedOutput = hinted > 0 ? hinted : OUTPUT_SHARE * asked.maxOutput();
         }
     }
 
-    private record Holding(Engine engine, double tokens, double atMs) {}
+    private record CachedPrefix(Engine engine, double tokens, double atMs) {}
 
     private final Settings settings;
     private final SplittableRandom random;
     private final TreeMap<Long, Engine> engines = new TreeMap<>();
     private final Map<Long, Request> requests = new LinkedHashMap<>();
-    private final Map<Long, ArrayDeque<Holding>> sessions = new LinkedHashMap<>();
-    private final Map<Long, ArrayDeque<Holding>> prefixes = new LinkedHashMap<>();
+    private final Map<Long, ArrayDeque<CachedPrefix>> sessions = new LinkedHashMap<>();
+    private final Map<Long, ArrayDeque<CachedPrefix>> prefixes = new LinkedHashMap<>();
     /** How many of the arrivals of late had each beginning, fading; 0 stands for all. */
-    private final Map<Long, double[]> heat = new LinkedHashMap<>();
-    private final Map<Role, Usual> usual = new TreeMap<>();
+    private final Map<Long, double[]> arrivals = new LinkedHashMap<>();
+    private final Map<Role, RoleStats> usual = new TreeMap<>();
     /** Of each role, answers a millisecond and when that was so; it fades. */
     private final Map<Role, double[]> answers = new TreeMap<>();
     /** Waits for a first token lately, wherever; one as long as the aim for a writer that was full. */
@@ -232,7 +232,7 @@
     private void onMembers(Members news) {
         if (settings.askForList() && news.kind() == ListKind.REMEMBERED) actions.add(new Subscribe());
         if (news.kind() == ListKind.FAILED) {
-            if (!askPending) setTimer(0, 0, Alarm.ASK, now + ASK_AGAIN_MS);
+            if (!askPending) setTimer(0, 0, TimerKind.ASK, now + ASK_AGAIN_MS);
             askPending = true;
             return;
         }
@@ -259,15 +259,15 @@
     }
 
     /** A length or time that can't be: 0 in place of NaN and less, and at most a bound. */
-    private static double sane(double value) {
-        return value > 0 ? Math.min(value, SANE) : 0;
+    private static double clamp(double value) {
+        return value > 0 ? Math.min(value, MOST_TOLD) : 0;
     }
 
     private void onArrival(Arrival told) {
         // Absurd figures must not poison a deficit or an estimate that outlives the request.
         Arrival arrival = new Arrival(told.id(), told.kind(), told.tenant(), told.session(),
-                sane(told.promptTokens()), told.prefix(), sane(told.prefixTokens()), sane(told.budgetMs()),
-                sane(told.maxOutput()), sane(told.hintMs()), told.resumed());
+                clamp(told.promptTokens()), told.prefix(), clamp(told.prefixTokens()), clamp(told.budgetMs()),
+                clamp(told.maxOutput()), clamp(told.hintMs()), told.resumed());
         if (arrival.kind() >= settings.classes().size()) actions.add(new Refuse(arrival.id(), 0));
         if (arrival.kind() >= settings.classes().size()) return;
         int classes = settings.classes().size();
@@ -280,12 +280,12 @@
             giveUp(request);
             return;
         }
-        warm(0);
-        if (arrival.prefix() != 0) warm(arrival.prefix());
+        countArrival(0);
+        if (arrival.prefix() != 0) countArrival(arrival.prefix());
         // A fleet of nodes that each see little must not have saved up more retries than its arrivals allow.
-        double burst = Math.min(RETRY_BURST, Math.max(1, RETRY_SHARE * heatOf(0)));
+        double burst = Math.min(RETRY_BURST, Math.max(1, RETRY_SHARE * seenOf(0)));
         retryTokens = Math.min(burst, retryTokens + RETRY_SHARE);
-        setTimer(arrival.id(), 0, Alarm.DEADLINE, lastMoment(request));
+        setTimer(arrival.id(), 0, TimerKind.DEADLINE, lastMoment(request));
         if (overloaded(request)) giveUp(request);
         else read(request, null);
     }
@@ -300,7 +300,7 @@
         attempt.begun = true;
         if (request.phase != Phase.DONE) request.phase = Phase.STREAMING;
         observePace(attempt, first.spentMs());
-        firstTokens.add(Math.min(sane(first.spentMs()), request.kind.aimMs()));
+        firstTokens.add(Math.min(clamp(first.spentMs()), request.kind.aimMs()));
         good(attempt.engine);
         request.attempts.stream().filter(a -> a != attempt).forEach(this::cancel);
     }
@@ -317,7 +317,7 @@
         if (!neverCame(ended.outcome())) request.heldMs = now;
         request.held |= ended.outcome() == Outcome.READ;
         account(attempt, ended);
-        judge(attempt, ended);
+        recordOutcome(attempt, ended);
         if (request.phase == Phase.DONE) cleanUp(request);
         else if (ended.outcome() == Outcome.SERVED || ended.closed()) close(request);
         else if (ended.outcome() == Outcome.READ) onRead(request, attempt);
@@ -325,17 +325,17 @@
     }
 
     private void onTimer(long token) {
-        Alarm alarm = Alarm.values()[(int) (token & 15)];
+        TimerKind alarm = TimerKind.values()[(int) (token & 15)];
         Request request = requests.get(token >>> 12);
-        if (alarm == Alarm.ASK) {
+        if (alarm == TimerKind.ASK) {
             askPending = false;
             actions.add(new Subscribe());
         }
         if (request == null) return;
-        if (alarm == Alarm.DEADLINE) giveUp(request);
-        if (alarm == Alarm.LOOK) look(request);
-        if (alarm == Alarm.PINNED) pinned(request);
-        if (alarm == Alarm.OVERDUE) overdue(request, (int) (token >>> 4 & 255));
+        if (alarm == TimerKind.DEADLINE) giveUp(request);
+        if (alarm == TimerKind.RESELECT) reselect(request);
+        if (alarm == TimerKind.PINNED) pinned(request);
+        if (alarm == TimerKind.OVERDUE) overdue(request, (int) (token >>> 4 & 255));
     }
 
     private Attempt attemptOf(long id, int number) {
@@ -344,7 +344,7 @@
         return request.attempts.get(number).ended ? null : request.attempts.get(number);
     }
 
-    private void setTimer(long id, int attempt, Alarm alarm, double at) {
+    private void setTimer(long id, int attempt, TimerKind alarm, double at) {
         actions.add(new SetTimer(id << 12 | (long) (attempt & 255) << 4 | alarm.ordinal(), at));
     }
 
@@ -432,10 +432,10 @@
         boolean most = request.asked.promptTokens() > 2 * request.asked.prefixTokens();
         boolean history = most && request.asked.session() != 0;
         long key = history ? request.asked.session() : request.asked.prefix();
-        double seen = heatOf(key);
+        double seen = seenOf(key);
         // Without the present arrival, which would make every beginning hot at a node that sees little.
         double before = Math.max(0, seen - 1);
-        double count = history ? 1 : Math.ceil(HOME_SPREAD * able.size() * before / (heatOf(0) + HOME_PRIOR));
+        double count = history ? 1 : Math.ceil(HOME_SPREAD * able.size() * before / (seenOf(0) + HOME_PRIOR));
         List<Engine> homes = key == 0 ? List.of() : able.stream()
                 .sorted(Comparator.comparingLong(e -> mix(key ^ mix(e.id)))).limit((long) Math.max(1, count))
                 .toList();
@@ -447,16 +447,16 @@
     }
 
     /** Arrivals with a beginning within the ageing time, about; 0 stands for all. */
-    private double heatOf(long key) {
-        double[] known = heat.get(key);
+    private double seenOf(long key) {
+        double[] known = arrivals.get(key);
         return known == null ? 0 : known[0] * Math.exp((known[1] - now) / ENTRY_AGE);
     }
 
-    private void warm(long key) {
-        double seen = heatOf(key) + 1;
-        heat.remove(key);
-        heat.put(key, new double[] {seen, now});
-        if (heat.size() > MAX_KEYS) heat.remove(heat.keySet().iterator().next());
+    private void countArrival(long key) {
+        double seen = seenOf(key) + 1;
+        arrivals.remove(key);
+        arrivals.put(key, new double[] {seen, now});
+        if (arrivals.size() > MAX_KEYS) arrivals.remove(arrivals.keySet().iterator().next());
     }
 
     private static long mix(long value) {
@@ -472,10 +472,10 @@
         return Math.min(Math.max(session, prefix), request.asked.promptTokens());
     }
 
-    private double heldTokens(Map<Long, ArrayDeque<Holding>> table, long key, Engine engine) {
-        ArrayDeque<Holding> holdings = key == 0 ? null : table.get(key);
-        if (holdings == null) return 0;
-        for (Holding h : holdings) {
+    private double heldTokens(Map<Long, ArrayDeque<CachedPrefix>> table, long key, Engine engine) {
+        ArrayDeque<CachedPrefix> cached = key == 0 ? null : table.get(key);
+        if (cached == null) return 0;
+        for (CachedPrefix h : cached) {
             if (h.engine() == engine && h.atMs() > now - ENTRY_AGE) return h.tokens();
         }
         return 0;
@@ -486,19 +486,19 @@
         put(prefixes, request.asked.prefix(), reader, request.asked.prefixTokens());
     }
 
-    private void put(Map<Long, ArrayDeque<Holding>> table, long key, Engine engine, double tokens) {
+    private void put(Map<Long, ArrayDeque<CachedPrefix>> table, long key, Engine engine, double tokens) {
         if (key == 0 || !(tokens > 0)) return;
-        ArrayDeque<Holding> holdings = Objects.requireNonNullElseGet(table.remove(key), ArrayDeque::new);
-        table.put(key, holdings);
+        ArrayDeque<CachedPrefix> cached = Objects.requireNonNullElseGet(table.remove(key), ArrayDeque::new);
+        table.put(key, cached);
         if (table.size() > MAX_KEYS) table.remove(table.keySet().iterator().next());
-        holdings.removeIf(h -> h.engine() == engine || h.atMs() <= now - ENTRY_AGE);
-        holdings.addLast(new Holding(engine, tokens, now));
-        if (holdings.size() > MAX_HOLDERS) holdings.removeFirst();
+        cached.removeIf(h -> h.engine() == engine || h.atMs() <= now - ENTRY_AGE);
+        cached.addLast(new CachedPrefix(engine, tokens, now));
+        if (cached.size() > MAX_HOLDERS) cached.removeFirst();
     }
 
     private void drop(Request request, Engine engine) {
         Stream.of(sessions.get(request.asked.session()), prefixes.get(request.asked.prefix()))
-                .filter(Objects::nonNull).forEach(holdings -> holdings.removeIf(h -> h.engine() == engine));
+                .filter(Objects::nonNull).forEach(cached -> cached.removeIf(h -> h.engine() == engine));
     }
 
     // ---- Writer: lowest projected memory, chosen when the read has ended ----
@@ -554,7 +554,7 @@
     /** Own streams, each as its prompt and the stand-in for its output, this one, and the last report. */
     private double projectedShare(Engine engine, Request request, double average) {
         double memory = Math.max(1, settings.kinds().get(engine.member.kind()).memoryTokens());
-        double own = (engine.projected + request.asked.promptTokens() + request.standIn) / memory;
+        double own = (engine.projected + request.asked.promptTokens() + request.expectedOutput) / memory;
         return own * relativeStream(engine) + (Double.isNaN(engine.reported) ? average : engine.reported);
     }
 
@@ -565,13 +565,13 @@
 
     // ---- Health: outlier detection against peers of the role ----
 
-    private void judge(Attempt attempt, Ended ended) {
+    private void recordOutcome(Attempt attempt, Ended ended) {
         Engine engine = attempt.engine;
         if (!Double.isNaN(ended.load().memoryShare())) engine.reported = ended.load().memoryShare();
         switch (ended.outcome()) {
             case READ -> {
                 // What was really read: other nodes' prompts decide what is kept.
-                double read = Math.max(0, attempt.request.asked.promptTokens() - sane(ended.kept()));
+                double read = Math.max(0, attempt.request.asked.promptTokens() - clamp(ended.kept()));
                 attempt.cost += read - attempt.uncached;
                 observePace(attempt, ended.spentMs());
                 good(engine);
@@ -583,8 +583,8 @@
             }
             case SERVED -> {
                 good(engine);
-                double seen = (now - attempt.request.firstMs) / attempt.request.standIn;
-                if (attempt.request.standIn >= 1 && seen >= 0) engine.stream.add(seen);
+                double seen = (now - attempt.request.firstMs) / attempt.request.expectedOutput;
+                if (attempt.request.expectedOutput >= 1 && seen >= 0) engine.stream.add(seen);
             }
             case FULL -> {
                 engine.fullUntil = now + FULL_MS;
@@ -601,7 +601,7 @@
     private void observePace(Attempt attempt, double spentMs) {
         Engine engine = attempt.engine;
         answers.put(engine.role, new double[] {answerRate(engine.role) + 1 / RATE_MS, now});
-        if (!(spentMs > 0 && spentMs < SANE) || !(attempt.cost > 0)) return;
+        if (!(spentMs > 0 && spentMs < MOST_TOLD) || !(attempt.cost > 0)) return;
         engine.answeredSentMs = Math.max(engine.answeredSentMs, attempt.sentMs);
         if (attempt.read) {
             calmPace = Math.min(spentMs / attempt.cost, calmPace * CALM_DRIFT);
@@ -610,7 +610,7 @@
         engine.pace.add(spentMs / attempt.cost);
         engine.typicalMs.add(spentMs);
         // So slow that aims are at stake: a queue alone does not eject.
-        double floor = HURTING * settings.classes().stream().mapToDouble(RequestClass::aimMs).min().orElse(0);
+        double floor = SLOW_AT * settings.classes().stream().mapToDouble(RequestClass::aimMs).min().orElse(0);
         boolean slow = engine.pace.weight() >= ENOUGH && relativePace(engine) > SLOW_OUTLIER;
         if (slow && engine.typicalMs.mean > floor) eject(engine, "slow");
     }
@@ -618,8 +618,8 @@
     /** How slowly an engine streams against its peers, running streams counted; 1 if unknown. */
     private double relativeStream(Engine engine) {
         double usual = usual(engine).stream;
-        double running = engine.out.stream().filter(a -> a.begun && a.request.standIn >= 1)
-                .mapToDouble(a -> (now - a.request.firstMs) / a.request.standIn).average().orElse(0);
+        double running = engine.out.stream().filter(a -> a.begun && a.request.expectedOutput >= 1)
+                .mapToDouble(a -> (now - a.request.firstMs) / a.request.expectedOutput).average().orElse(0);
         double begun = usual > 0 ? running / usual : 0;
         return Math.max(MIN_RELATIVE, Math.max(begun, relative(engine.stream, usual)));
     }
@@ -636,12 +636,12 @@
         return weight < ENOUGH && relative < REMARKABLE ? 1 : relative;
     }
 
-    private Usual usual(Engine engine) {
+    private RoleStats usual(Engine engine) {
         return usual.computeIfAbsent(engine.role, role -> {
             List<Engine> peers = peers(engine);
             double share = COLD_LOAD * peers.size() / peers.stream().mapToDouble(this::presentCapacity).sum();
             double rate = answerRate(role) / Math.max(1, peers.size());
-            return new Usual(median(peers, e -> e.pace), median(peers, e -> e.typicalMs),
+            return new RoleStats(median(peers, e -> e.pace), median(peers, e -> e.typicalMs),
                     median(peers, e -> e.stream), median(peers, e -> e.failures), rate,
                     Math.min(share, COLD_MOST * settings.rules().tipMultiple()));
         });
@@ -731,12 +731,12 @@
         request.out++;
         engine.out.add(attempt);
         engine.queued += uncached;
-        if (!read) engine.projected += request.asked.promptTokens() + request.standIn;
+        if (!read) engine.projected += request.asked.promptTokens() + request.expectedOutput;
         // A repeat may wait for a connection, and is then withdrawn at the end of its window.
         double startByMs = engine.role == Role.READ ? Double.POSITIVE_INFINITY : repeatUntilMs(request);
         if (engine.role != Role.READ && request.mayHaveRun == null) request.mayHaveRun = attempt;
         actions.add(new Send(request.asked.id(), engine.id, request.deadlineMs, startByMs));
-        setTimer(request.asked.id(), attempt.number, Alarm.OVERDUE, now + patience(attempt));
+        setTimer(request.asked.id(), attempt.number, TimerKind.OVERDUE, now + patience(attempt));
         return true;
     }
 
@@ -823,7 +823,7 @@
         double againMs = now + OVERDUE_SHARE * request.kind.aimMs();
         // What may have begun to answer and can't be repeated is waited for: called off, it is lost for sure.
         if (unsafe && attempt == request.mayHaveRun) {
-            if (!mute) setTimer(request.asked.id(), number, Alarm.OVERDUE, againMs);
+            if (!mute) setTimer(request.asked.id(), number, TimerKind.OVERDUE, againMs);
             return;
         }
         // Where a whole role is behind, a copy only adds to it, and retries are rationed in storms. An answer
@@ -833,13 +833,13 @@
         boolean behind = pooled(waits) > BEHIND * request.kind.aimMs();
         boolean free = number == 0 && silent && waits.weight() >= SOME && !behind;
         if (!lost && !free && (behind && unmet(attempt.engine) || retryTokens < 1)) {
-            setTimer(request.asked.id(), number, Alarm.OVERDUE, againMs);
+            setTimer(request.asked.id(), number, TimerKind.OVERDUE, againMs);
             return;
         }
         if (!silent && !lost && !attempt.excused && relativePace(attempt.engine) < OUTLIER) {
             // Others were answered: a queue, or an answer that was lost. The second time it counts as lost.
             attempt.excused = true;
-            setTimer(request.asked.id(), number, Alarm.OVERDUE, 2 * now - attempt.sentMs);
+            setTimer(request.asked.id(), number, TimerKind.OVERDUE, 2 * now - attempt.sentMs);
             return;
         }
         retryTokens = Math.max(0, retryTokens - 1);
@@ -885,11 +885,11 @@
     /** No engine can be sent to now: look again soon, within what the pin rule allows. */
     private void wait(Request request) {
         int attempts = request.attempts.size();
-        if (request.held) setTimer(request.asked.id(), attempts, Alarm.PINNED, pinnedMs(request));
-        setTimer(request.asked.id(), 0, Alarm.LOOK, now + LOOK_MS);
+        if (request.held) setTimer(request.asked.id(), attempts, TimerKind.PINNED, pinnedMs(request));
+        setTimer(request.asked.id(), 0, TimerKind.RESELECT, now + RESELECT_MS);
     }
 
-    private void look(Request request) {
+    private void reselect(Request request) {
         if (request.out > 0) return;
         if (now > request.aimMs || now >= repeatUntilMs(request)) giveUp(request);
         if (request.phase == Phase.HOLDING) write(request, null);
@@ -931,7 +931,7 @@
         double queue = Math.max(own, all) + Math.max(median, pooled(firstTokens));
         double limit = Math.min(request.aimMs, lastMoment(request)) - now;
         // A long prompt takes its time without a queue: what it needs itself is no overload.
-        double whole = queue + (calmPace < SANE ? calmPace * needed(request, reader) : 0);
+        double whole = queue + (calmPace < MOST_TOLD ? calmPace * needed(request, reader) : 0);
         boolean shut = queue > QUEUED * limit && whole > ADMIT * limit;
         for (RequestClass other : settings.classes()) {
             if (other.worth() > request.worth) limit = Math.min(limit, other.aimMs());
@@ -1028,16 +1028,16 @@
         Engine engine = attempt.engine;
         engine.out.remove(attempt);
         engine.queued = Math.max(0, engine.queued - attempt.uncached);
-        double tokens = attempt.read ? 0 : request.asked.promptTokens() + request.standIn;
+        double tokens = attempt.read ? 0 : request.asked.promptTokens() + request.expectedOutput;
         engine.projected = Math.max(0, engine.projected - tokens);
         if (ended.outcome() != Outcome.SERVED) return;
         request.attempts.stream().filter(a -> a.read).reduce((a, b) -> b)
-                .ifPresent(a -> charge(a.engine, request.client, OUTPUT_WEIGHT * request.standIn));
+                .ifPresent(a -> charge(a.engine, request.client, OUTPUT_WEIGHT * request.expectedOutput));
     }
 
-    /** Entries in the tables, for watching that they stay bounded. */
+    /** Entries in the tables, for watching that they stay clamp. */
     int held() {
-        return requests.size() + sessions.size() + prefixes.size() + heat.size() + engines.size();
+        return requests.size() + sessions.size() + prefixes.size() + arrivals.size() + engines.size();
     }
 
     /** The engine of the lowest value; equals by the key's rendezvous hash, so that nodes don't herd. */
