Ration all moves of overdue reads again, and look again at those held back

In the burst from 24 to 33 s reads wait longer than 400 ms behind a queue, readers go on with what was called off, and each move adds to all queues. A node that sees a reader seldom cannot tell that from silence.

What stays: a look each 0.4 of an aim at what is held back, where the timer was dropped or set to three times the age of the attempt itself; patience by answers alone; twice the patience for a request that was moved before.

Test: FailoverTest.aRequestLeavesASilentEngineSoonAfterARetryIsToBeHad replaces the one of the free move, and fails with patience and looks as they were; aRequestLeavesASilentEngineOnceTheOthersHaveCaughtUp stays.

--- a/src/main/java/maplerail/Logic.java
+++ b/src/main/java/maplerail/Logic.java
@@ -128,7 +128,7 @@
         final boolean read;
         final double sentMs;
         double cost, uncached, matched;
-        boolean ended, cancelled, begun, excused, blamed, failed, unreachable;
+        boolean ended, cancelled, begun, excused, failed, unreachable;
 
         /** A reader takes prompts in turn: an answer to a later one says that this one's is lost. */
         boolean overtaken() {
@@ -816,23 +816,19 @@
         boolean silent = attempt.engine.heardMs < attempt.sentMs;
         // A full writer's queue is quiet too: only silence as long as an aim counts against the engine.
         boolean mute = silent && now - attempt.engine.heardMs > request.kind.aimMs();
-        // The verdict on an engine does not wait until the request may be repeated.
-        if (mute && !attempt.blamed) bad(attempt.engine, attempt);
-        attempt.blamed |= mute;
         boolean unsafe = request.kind.repeat() == Repeat.UNSAFE;
         double againMs = now + OVERDUE_SHARE * request.kind.aimMs();
         // What may have begun to answer and can't be repeated is waited for: called off, it is lost for sure.
         if (unsafe && attempt == request.mayHaveRun) {
-            if (!mute) setTimer(request.asked.id(), number, TimerKind.OVERDUE, againMs);
+            if (mute) bad(attempt.engine, attempt);
+            else setTimer(request.asked.id(), number, TimerKind.OVERDUE, againMs);
             return;
         }
-        // Where a whole role is behind, a copy only adds to it, and retries are rationed in storms. An answer
-        // that is lost, or one engine's silence while others answer soon, is no lack of capacity.
+        // Retries are rationed against storms, and where the whole role is behind, a copy only adds to it.
+        // Either may have changed a little later. An answer that is lost comes from no lack of capacity.
         boolean lost = attempt.overtaken();
-        Evidence waits = attempt.read ? reads : firstTokens;
-        boolean behind = pooled(waits) > BEHIND * request.kind.aimMs();
-        boolean free = number == 0 && silent && waits.weight() >= SOME && !behind;
-        if (!lost && !free && (behind && unmet(attempt.engine) || retryTokens < 1)) {
+        boolean behind = pooled(attempt.read ? reads : firstTokens) > BEHIND * request.kind.aimMs();
+        if (!lost && (retryTokens < 1 || behind && unmet(attempt.engine))) {
             setTimer(request.asked.id(), number, TimerKind.OVERDUE, againMs);
             return;
         }
@@ -842,6 +838,7 @@
             setTimer(request.asked.id(), number, TimerKind.OVERDUE, 2 * now - attempt.sentMs);
             return;
         }
+        if (mute) bad(attempt.engine, attempt);
         retryTokens = Math.max(0, retryTokens - 1);
         // Guards against a second send of unsafe work while the first is out, a read's included: call it off.
         if (attempt.read && settings.limits().secondCopies() && !unsafe) read(request, attempt.engine);
