Hold requests that reach a restarted gateway until its agent has said what changed

The list had changed at 15.31 s (8 engines draining); 74 gateways, killed at 12.99 s, listened again from 15.7 to 16.0 s by their logs. They had been told from their first moment, with the list of their earlier life in hand.

Lines at fault: Gateway.remember told the module the remembered list at once; only readiness waited for the agent. A client that reaches the gateway between its first listen and the agent's answer was sent to engines of the old list. Ruled out: the agent silent (no gateway logged it, and 74 would have sent much more than one request) and the module, which sends to listed engines only.

Mend: the module hears the remembered list together with the agent's answer, or after the 0.5 s that readiness waits for a silent one. Until then requests wait in the module, which answers them in their time. Test: PlatformWatchTest.aRequestThatComesBeforeTheAgentHasAnsweredWaitsForTheList, seen to fail without it.

--- a/src/main/java/maplerail/cli/Gateway.java
+++ b/src/main/java/maplerail/cli/Gateway.java
@@ -71,6 +71,8 @@
     private final ToolServices tools;
     private final RpcFront rpc;
     private final InetSocketAddress rpcListen;
+    /** The list of an earlier life, until the agent has said what changed since. */
+    private EngineList unconfirmed;
     private AcceptingChannel<?> server;
     private AcceptingChannel<?> rpcServer;
     private final List<ClientListener> listeners = new ArrayList<>();
@@ -143,13 +145,24 @@
      */
     private void remember(EngineList known) {
         if (known == null) return;
+        unconfirmed = known;
+        boolean pushed = !config.settings().askForList();
+        if (!known.members().isEmpty()) watch.from(known.version(), pushed);
+        if (pushed && !known.members().isEmpty()) loop.at(loop.nowMs() + CONFIRM_MS, this::useRememberedList);
+        else useRememberedList();
+    }
+
+    /**
+     * Decides by the remembered list from now on. Not before the agent has answered: clients that reach a restarted
+     * gateway before it is ready wait for that, or would be sent to engines that have begun to drain meanwhile.
+     */
+    private void useRememberedList() {
+        if (unconfirmed == null) return;
+        EngineList known = unconfirmed;
+        unconfirmed = null;
         engines.addresses(known.addresses());
         broker.members(new Router.Members(Router.ListKind.REMEMBERED, known.version(), known.members()));
-        if (known.members().isEmpty()) return;
-        boolean pushed = !config.settings().askForList();
-        watch.from(known.version(), pushed);
-        if (pushed) loop.at(loop.nowMs() + CONFIRM_MS, this::ready);
-        else ready();
+        if (!known.members().isEmpty()) ready();
     }
 
     /** Past the high water nothing is accepted: what waits there costs no descriptor, and engines stay in reach. */
@@ -173,6 +186,7 @@
     }
 
     private void hear(EngineList list) {
+        useRememberedList();
         engines.addresses(list.addresses());
         broker.members(new Router.Members(list.whole() ? Router.ListKind.WHOLE : Router.ListKind.CHANGES,
                 list.version(), list.members()));
--- a/src/test/java/maplerail/discovery/PlatformWatchTest.java
+++ b/src/test/java/maplerail/discovery/PlatformWatchTest.java
@@ -128,6 +128,38 @@
         }
     }
 
+    /** Found on the large herd day: a client reached a restarted gateway before its agent's answer did. */
+    @Test
+    void aRequestThatComesBeforeTheAgentHasAnsweredWaitsForTheList() throws Exception {
+        BlockingQueue<StandIn.Exchange> first = World.queue();
+        try (StandIn draining = World.reader();
+                StandIn started = World.reader();
+                StandIn writer = World.writer();
+                StandIn agent = new StandIn(x -> {
+                    if (x.target.endsWith("wait=0")) first.add(x);
+                    else x.awaitEnd();
+                });
+                World world = new World().engine("r1", "prefill", draining).engine("w", "decode", writer)
+                        .discoveredBy(agent)) {
+            world.begin();
+            StandIn.Exchange asked = take(first);
+            try (Socket early = world.connect()) {
+                String closing = request("a1", "lookup", "5.0").replaceFirst("\r\n", "\r\nConnection: close\r\n");
+                early.getOutputStream().write(closing.getBytes(StandardCharsets.UTF_8));
+                await("taken", () -> world.gateway.remembered() == 1);
+                asked.reply(200, "{\"seq\":9,\"whole\":false,\"hosts\":[" + host("r1", draining, "terminating") + ","
+                        + host("r2", started, "in_service") + "]}");
+                assertThat(World.readAll(early.getInputStream())).startsWith("HTTP/1.1 200");
+            }
+            assertThat(draining.count("POST")).isZero();
+        }
+    }
+
+    private static String host(String name, StandIn at, String health) {
+        return "{\"host\":\"" + name + "\",\"dial\":\"" + at.address()
+                + "\",\"site\":\"caerdydd\",\"class\":\"prefill\",\"block\":1,\"health\":\"" + health + "\"}";
+    }
+
     /** A new agent that has yet to hear the news would list an engine that drains as ready once more. */
     @Test
     void aListOlderThanOursIsNotBelievedAfterAMove() throws Exception {
