Decide sends, repeats and refusals by one set of rules, asked again before each goes out

ProtocolRules (policy) allows or refuses with a reason from a closed set. Logic asks it where it had rules of its own; AttemptRunner and Broker ask it again with what really happened, withhold what it forbids and count it (RuleMonitor). An attempt that waited for its connection is asked for again right before its first byte: a client may have left in the same turn, or its engine may have begun to drain.

--- a/src/main/java/maplerail/Logic.java
+++ b/src/main/java/maplerail/Logic.java
@@ -15,6 +15,9 @@
 import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
 import java.util.stream.Stream;
+import maplerail.policy.ProtocolRules;
+import maplerail.policy.ProtocolRules.Reason;
+import maplerail.policy.RequestState;
 
 /**
  * Every decision of a node. Its events, actions and settings are in {@link Router} (Router.java).
@@ -119,6 +122,10 @@
         double coldBucket, coldAt;
 
         Engine(long id) { this.id = id; }
+
+        ProtocolRules.Target target() {
+            return new ProtocolRules.Target(role, ready, member.zone(), member.cell());
+        }
     }
 
     private final class Attempt {
@@ -178,6 +185,14 @@
             double hinted = kind.tokenAimMs() > 0 ? asked.hintMs() / kind.tokenAimMs() : 0;
             this.expectedOutput = hinted > 0 ? hinted : OUTPUT_SHARE * asked.maxOutput();
         }
+
+        RequestState state() {
+            boolean over = phase == Phase.DONE || phase == Phase.STREAMING;
+            Member at = mayHaveRun == null ? null : mayHaveRun.engine.member;
+            RequestState.FirstRun first = at == null ? null
+                    : new RequestState.FirstRun(mayHaveRun.sentMs, at.zone(), at.cell());
+            return new RequestState(kind, over, attempts.size(), out, deadlineMs, first);
+        }
     }
 
     private record CachedPrefix(Engine engine, double tokens, double atMs) {}
@@ -268,7 +283,8 @@
         Arrival arrival = new Arrival(told.id(), told.kind(), told.tenant(), told.session(),
                 clamp(told.promptTokens()), told.prefix(), clamp(told.prefixTokens()), clamp(told.budgetMs()),
                 clamp(told.maxOutput()), clamp(told.hintMs()), told.resumed());
-        if (arrival.kind() >= settings.classes().size()) actions.add(new Refuse(arrival.id(), 0));
+        if (arrival.kind() >= settings.classes().size())
+            actions.add(new Refuse(arrival.id(), 0, EndReason.UNKNOWN_CLASS));
         if (arrival.kind() >= settings.classes().size()) return;
         int classes = settings.classes().size();
         boolean tenant = arrival.tenant() < settings.tenants().size();
@@ -277,7 +293,7 @@
         if (tenant && overShare(arrival.tenant())) request.worth *= settings.overShareWorth();
         requests.put(arrival.id(), request);
         if (lastMoment(request) <= now) {
-            giveUp(request);
+            giveUp(request, EndReason.DEADLINE);
             return;
         }
         countArrival(0);
@@ -286,7 +302,7 @@
         double burst = Math.min(RETRY_BURST, Math.max(1, RETRY_SHARE * seenOf(0)));
         retryTokens = Math.min(burst, retryTokens + RETRY_SHARE);
         setTimer(arrival.id(), 0, TimerKind.DEADLINE, lastMoment(request));
-        if (overloaded(request)) giveUp(request);
+        if (overloaded(request)) giveUp(request, EndReason.OVERLOAD);
         else read(request, null);
     }
 
@@ -332,7 +348,7 @@
             actions.add(new Subscribe());
         }
         if (request == null) return;
-        if (alarm == TimerKind.DEADLINE) giveUp(request);
+        if (alarm == TimerKind.DEADLINE) giveUp(request, EndReason.DEADLINE);
         if (alarm == TimerKind.RESELECT) reselect(request);
         if (alarm == TimerKind.PINNED) pinned(request);
         if (alarm == TimerKind.OVERDUE) overdue(request, (int) (token >>> 4 & 255));
@@ -717,9 +733,8 @@
     }
 
     private boolean send(Request request, Engine engine, boolean read, double uncached, double matched) {
-        if (request.attempts.size() >= settings.limits().maxAttempts() || request.phase == Phase.DONE
-                || request.out > 0 && !settings.limits().secondCopies()) {
-            giveUp(request);
+        if (ProtocolRules.attempt(request.state(), settings.limits()) != Reason.ALLOWED) {
+            giveUp(request, EndReason.ATTEMPTS_SPENT);
             return false;
         }
         if (cold(engine)) engine.coldBucket -= 1;
@@ -742,22 +757,13 @@
 
     /** Keyed work that may have run goes only where its repeats are dropped; unsafe work nowhere. */
     private boolean repeatAllowed(Request request, Engine engine) {
-        Attempt first = request.mayHaveRun;
-        if (first == null || request.kind.repeat() == Repeat.PURE || engine.role == Role.READ) return true;
-        if (now >= repeatUntilMs(request)) return false;
-        return switch (request.kind.scope()) {
-            case ALL -> true;
-            case ZONE -> engine.member.zone() == first.engine.member.zone();
-            case CELL -> engine.member.cell() == first.engine.member.cell();
-        };
+        return request.mayHaveRun == null
+                || ProtocolRules.repeat(request.state(), engine.target(), margin(), now) == Reason.ALLOWED;
     }
 
     /** Until when an attempt at a writer may begin, by what may have run already. */
     private double repeatUntilMs(Request request) {
-        Attempt first = request.mayHaveRun;
-        if (first == null || request.kind.repeat() == Repeat.PURE) return Double.POSITIVE_INFINITY;
-        if (request.kind.repeat() == Repeat.UNSAFE) return Double.NEGATIVE_INFINITY;
-        return first.sentMs + request.kind.keyTtlMs() - margin();
+        return ProtocolRules.repeatUntilMs(request.state(), margin());
     }
 
     private boolean cold(Engine engine) {
@@ -860,8 +866,10 @@
         if (outcome == Outcome.STATE_GONE) request.holder = null;
         boolean spent = request.attempts.size() >= settings.limits().maxAttempts();
         // What may have been done can be neither repeated nor taken elsewhere: no use in holding its state.
-        spent |= now >= repeatUntilMs(request);
-        if (spent || lastMoment(request) <= now) giveUp(request);
+        boolean over = now >= repeatUntilMs(request);
+        if (over) giveUp(request, EndReason.MAY_HAVE_RUN);
+        else if (spent) giveUp(request, EndReason.ATTEMPTS_SPENT);
+        else if (lastMoment(request) <= now) giveUp(request, EndReason.DEADLINE);
         else if (request.holder == null) read(request, not);
         else if (!neverCame(outcome) || now < pinnedMs(request)) write(request, attempt.engine);
         else readAnew(request);
@@ -888,7 +896,7 @@
 
     private void reselect(Request request) {
         if (request.out > 0) return;
-        if (now > request.aimMs || now >= repeatUntilMs(request)) giveUp(request);
+        if (now > request.aimMs || now >= repeatUntilMs(request)) giveUp(request, EndReason.NO_ENGINE);
         if (request.phase == Phase.HOLDING) write(request, null);
         if (request.phase == Phase.READING) read(request, null);
     }
@@ -896,7 +904,7 @@
     /** The state has waited as long as the rule allows: let it go and end the request. */
     private void pinned(Request request) {
         boolean held = request.held && request.out == 0 && request.phase != Phase.DONE;
-        if (held && now >= pinnedMs(request)) giveUp(request);
+        if (held && now >= pinnedMs(request)) giveUp(request, EndReason.STATE_HELD_TOO_LONG);
     }
 
     private double pinnedMs(Request request) {
@@ -991,18 +999,15 @@
     }
 
     /** Ends a request unserved, at once; refused if a retry is harmless, to come when waits have faded. */
-    private void giveUp(Request request) {
+    private void giveUp(Request request, EndReason why) {
         if (request.phase == Phase.DONE || request.phase == Phase.STREAMING) return;
-        // Unsafe work with a read still out has no proof yet either.
-        boolean unsure = request.kind.repeat() == Repeat.UNSAFE && request.out > 0;
-        boolean everywhere = request.mayHaveRun == null || request.kind.repeat() == Repeat.PURE
-                || request.kind.scope() == Scope.ALL;
+        boolean harmless = ProtocolRules.refusal(request.state(), margin(), now) == Reason.ALLOWED;
         double leftMs = repeatUntilMs(request) - now;
-        boolean harmless = !unsure && everywhere && leftMs > 0;
         // A repeat inside its window does no harm: the client must be able to come back before its end.
         double most = Math.min(settings.limits().maxRetryAfterMs(), leftMs / 2);
         double later = settings.limits().retryAfter() ? Math.min(most, WAIT_MS) : 0;
-        actions.add(harmless ? new Refuse(request.asked.id(), later) : new Fail(request.asked.id()));
+        long id = request.asked.id();
+        actions.add(harmless ? new Refuse(id, later, why) : new Fail(id, why));
         request.attempts.forEach(this::cancel);
         close(request);
     }
--- a/src/main/java/maplerail/Router.java
+++ b/src/main/java/maplerail/Router.java
@@ -92,11 +92,41 @@
     /** Let go of what engines hold for the request and no attempt waits for. */
     record Release(long id) implements Action {}
 
+    /** Why the module ends a request that nobody served. */
+    enum EndReason {
+        /** Its class is not one of the settings'. */
+        UNKNOWN_CLASS,
+        /** Its first token is expected too late, or it takes the place of work worth more. */
+        OVERLOAD,
+        /** Its client gives up now. */
+        DEADLINE,
+        /** It has had all the attempts that the settings allow. */
+        ATTEMPTS_SPENT,
+        /** It may have taken effect and must not run again. */
+        MAY_HAVE_RUN,
+        /** No engine could be sent to until the aim had passed. */
+        NO_ENGINE,
+        /** Its state had waited for as long as a state may be held. */
+        STATE_HELD_TOO_LONG,
+        /** The module did not say. */
+        UNTOLD
+    }
+
     /** End the request; the client may safely come again, after {@code retryAfterMs} if that is above 0. */
-    record Refuse(long id, double retryAfterMs) implements Action {}
+    record Refuse(long id, double retryAfterMs, EndReason why) implements Action {
+        /** A refusal whose reason is not told. */
+        public Refuse(long id, double retryAfterMs) {
+            this(id, retryAfterMs, EndReason.UNTOLD);
+        }
+    }
 
     /** End the request with an error that promises nothing. */
-    record Fail(long id) implements Action {}
+    record Fail(long id, EndReason why) implements Action {
+        /** A failure whose reason is not told. */
+        public Fail(long id) {
+            this(id, EndReason.UNTOLD);
+        }
+    }
 
     /** Ask for a {@link Timer} event at a time. */
     record SetTimer(long token, double atMs) implements Action {}
--- a/src/main/java/maplerail/cli/Gateway.java
+++ b/src/main/java/maplerail/cli/Gateway.java
@@ -229,6 +229,7 @@
         }
         if (rpc != null) rpc.close();
         lifecycle.move(Phase.STOPPED);
+        broker.counters().tell();
         LOG.info("drained");
         stopped.countDown();
     }
--- a/src/main/java/maplerail/core/ActiveRequest.java
+++ b/src/main/java/maplerail/core/ActiveRequest.java
@@ -7,6 +7,8 @@
 import java.util.Map;
 import java.util.Set;
 import maplerail.Router;
+import maplerail.policy.ProtocolRules;
+import maplerail.policy.RequestState;
 
 /** A request that is open: its attempts, its answer and what engines may hold for it. */
 final class ActiveRequest {
@@ -33,6 +35,17 @@
         this.deadlineMs = deadlineMs;
     }
 
+    /** What the rules have to know of it, by what really went out and came back. */
+    RequestState state(List<Router.RequestClass> classes, Fleet fleet) {
+        Router.RequestClass requestClass = request.kind() < classes.size() ? classes.get(request.kind()) : null;
+        int out = (int) attempts.stream().filter(attempt -> !attempt.ended).count();
+        RequestState.FirstRun first = attempts.stream().filter(Attempt::mayHaveRun).findFirst().map(attempt -> {
+            ProtocolRules.Target at = fleet.target(attempt.engine);
+            return new RequestState.FirstRun(attempt.sentMs, at.zone(), at.cell());
+        }).orElse(null);
+        return new RequestState(requestClass, answered || winner != null, attempts.size(), out, deadlineMs, first);
+    }
+
     boolean anyOut() {
         return attempts.stream().anyMatch(attempt -> !attempt.ended);
     }
@@ -60,6 +73,11 @@
         Router.Outcome outcome;
         double endedMs;
 
+        /** True unless it is a read, which has no effect, or its end proves that it had none. */
+        boolean mayHaveRun() {
+            return !reader && (!ended || !outcome.neverRan);
+        }
+
         Attempt(ActiveRequest active, long engine, boolean reader, double sentMs) {
             this.active = active;
             this.number = active.attempts.size();
--- a/src/main/java/maplerail/core/AttemptRunner.java
+++ b/src/main/java/maplerail/core/AttemptRunner.java
@@ -6,6 +6,8 @@
 import java.util.function.Consumer;
 import maplerail.Router;
 import maplerail.Router.Outcome;
+import maplerail.policy.ProtocolRules;
+import maplerail.policy.ProtocolRules.Reason;
 
 /** Fourth stage: makes the attempts that the module asks for, ends them, and tells how each one ended. */
 final class AttemptRunner {
@@ -19,18 +21,23 @@
     private final Fleet fleet;
     private final RequestRegistry registry;
     private final Relay relay;
-    private final int maxAttempts;
+    private final Router.Settings settings;
+    private final RuleMonitor monitor;
+    private final ServiceCounters counters;
     private final Set<ActiveRequest> touched = new LinkedHashSet<>();
     private Route route;
     private Consumer<ActiveRequest> gone;
 
-    AttemptRunner(Engines engines, Loop loop, Fleet fleet, RequestRegistry registry, Relay relay, int maxAttempts) {
+    AttemptRunner(Engines engines, Loop loop, Fleet fleet, RequestRegistry registry, Relay relay,
+            Router.Settings settings, RuleMonitor monitor, ServiceCounters counters) {
         this.engines = engines;
         this.loop = loop;
         this.fleet = fleet;
         this.registry = registry;
         this.relay = relay;
-        this.maxAttempts = maxAttempts;
+        this.settings = settings;
+        this.monitor = monitor;
+        this.counters = counters;
     }
 
     /** Where attempts' ends are told, and who hears of a caller that is found to have left. */
@@ -44,32 +51,65 @@
         if (active == null) return;
         ActiveRequest.Attempt attempt = new ActiveRequest.Attempt(active, order.engine(), fleet.reader(order.engine()),
                 loop.nowMs());
-        active.attempts.add(attempt);
-        if (!active.answered && active.caller.hasLeft()) gone.accept(active);
         double until = order.untilMs() > 0 ? Math.min(order.untilMs(), active.deadlineMs) : active.deadlineMs;
-        // Guards against a send for what is over, or to an engine that the list has told to leave alone.
-        if (active.answered || until <= loop.nowMs() || attempt.number >= maxAttempts || !fleet.ready(order.engine())) {
+        Reason verdict = verdict(active, order.engine());
+        if (verdict == Reason.ALLOWED && until <= loop.nowMs()) verdict = Reason.DEADLINE_PASSED;
+        active.attempts.add(attempt);
+        if (verdict != Reason.ALLOWED) {
+            withhold(attempt, verdict);
             ended(attempt, Outcome.NOT_SENT, 0);
             return;
         }
         attempt.timeout = loop.at(until, () -> cut(attempt, Outcome.TIMEOUT));
-        attempt.sending = engines.send(order.engine(), active.request, until, new Engines.Answer() {
-            @Override
-            public void event(byte[] event) {
-                if (!attempt.ended) heard(attempt, event);
-            }
+        attempt.sending = engines.send(order.engine(), active.request, until, () -> mayBegin(attempt),
+                new Engines.Answer() {
+                    @Override
+                    public void event(byte[] event) {
+                        if (!attempt.ended) heard(attempt, event);
+                    }
+
+                    @Override
+                    public void unfit() {
+                        if (!attempt.ended) reject(attempt);
+                    }
+
+                    @Override
+                    public void ended(Outcome outcome, double kept) {
+                        AttemptRunner.this.ended(attempt, outcome, kept);
+                    }
+                });
+        if (order.startByMs() < until) loop.at(order.startByMs(), () -> withdraw(attempt));
+    }
 
-            @Override
-            public void unfit() {
-                if (!attempt.ended) reject(attempt);
-            }
+    /** Whether an attempt may go out now, by what has really happened; looks whether its client is still there. */
+    private Reason verdict(ActiveRequest active, long engine) {
+        if (!active.answered && active.caller.hasLeft()) gone.accept(active);
+        return ProtocolRules.send(active.state(settings.classes(), fleet), fleet.target(engine), settings.limits(),
+                loop.nowMs());
+    }
 
-            @Override
-            public void ended(Outcome outcome, double kept) {
-                AttemptRunner.this.ended(attempt, outcome, kept);
-            }
-        });
-        if (order.startByMs() < until) loop.at(order.startByMs(), () -> withdraw(attempt));
+    /**
+     * Asked right before an attempt that has waited for its connection is written. Guards against a client that left
+     * in the same moment, and against news of its engine that came meanwhile.
+     */
+    private boolean mayBegin(ActiveRequest.Attempt attempt) {
+        ActiveRequest active = attempt.active;
+        if (!active.answered && active.caller.hasLeft()) gone.accept(active);
+        if (!attempt.ended && !fleet.ready(attempt.engine)) cut(attempt, Outcome.CANCELLED);
+        if (!attempt.ended && active.deadlineMs <= loop.nowMs()) cut(attempt, Outcome.CANCELLED);
+        return !attempt.ended;
+    }
+
+    private void withhold(ActiveRequest.Attempt attempt, Reason why) {
+        counters.count(why);
+        // The module can't know yet that a client left or its time ran out in this very step, nor news that it has not
+        // been told; all else it should not have ordered.
+        boolean ordinary = why == Reason.REQUEST_OVER || why == Reason.DEADLINE_PASSED
+                || why == Reason.ENGINE_NOT_IN_SERVICE;
+        if (!ordinary) {
+            monitor.breach(RuleMonitor.Breach.SEND_WITHHELD, attempt.active.request.id(),
+                    why + " at " + Long.toHexString(attempt.engine));
+        }
     }
 
     /** Takes an attempt back while not a byte of it has gone out. */
@@ -179,6 +219,7 @@
         attempt.ended = true;
         attempt.outcome = outcome;
         attempt.endedMs = loop.nowMs();
+        counters.count(outcome);
         touched.add(attempt.active);
         if (attempt.timeout != null) attempt.timeout.cancel();
         ActiveRequest active = attempt.active;
--- a/src/main/java/maplerail/core/Broker.java
+++ b/src/main/java/maplerail/core/Broker.java
@@ -1,14 +1,18 @@
 package maplerail.core;
 
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 import maplerail.Router;
 import maplerail.core.Caller.Why;
+import maplerail.policy.ProtocolRules;
+import maplerail.policy.ProtocolRules.Reason;
 
 /**
  * Drives one decision module on one event loop. A request passes the stages admission, quotas, route, send,
  * relay and registry; the broker knows requests, attempts and outcomes and no wire. All calls are made on the loop.
  */
 public final class Broker {
+    private static final int MOST_ENGINES_TOLD = 8; // in a log line
     private static final double GUARD_MS = 4; // past a deadline; the module answers before it
 
     private final Loop loop;
@@ -21,19 +25,25 @@
     private final Relay relay;
     private final FailureLog failureLog;
     private final Consumer<String> log;
+    private final Router.Settings settings;
+    private final ServiceCounters counters;
+    private final RuleMonitor monitor;
 
     /** Makes a broker round a module that has just come up with these settings. */
     public Broker(Router router, Router.Settings settings, Quotas quotas, Loop loop, Engines engines,
             Consumer<String> log) {
         this.loop = loop;
         this.log = log;
+        this.settings = settings;
+        counters = new ServiceCounters(loop, log);
+        monitor = new RuleMonitor(loop, counters, log);
         fleet = new Fleet(settings.kinds());
         this.quotas = quotas;
-        registry = new RequestRegistry(engines, loop, quotas, settings.rules().pinLimitMs());
+        registry = new RequestRegistry(engines, loop, quotas, settings.rules(), monitor);
         admission = new Admission(loop, registry);
         failureLog = new FailureLog(loop, log);
-        relay = new Relay(registry, loop, failureLog);
-        runner = new AttemptRunner(engines, loop, fleet, registry, relay, settings.limits().maxAttempts());
+        relay = new Relay(registry, loop, failureLog, counters);
+        runner = new AttemptRunner(engines, loop, fleet, registry, relay, settings, monitor, counters);
         route = new Route(router, loop, this::perform, runner::settle, log);
         runner.use(route, this::gone);
     }
@@ -49,6 +59,7 @@
         if (denied != null) {
             registry.answer(active);
             registry.settle(active);
+            counters.count(FinalAnswer.NOT_ADMITTED);
             failureLog.bad(active, "not admitted (" + denied.why() + ")");
             caller.refuse(denied.why(), denied.retryAfterMs());
             return new Closed();
@@ -65,10 +76,25 @@
     /** News of the engines; what has not gone out yet obeys it too. */
     public void members(Router.Members news) {
         fleet.hear(news);
+        tellChanges(news);
         route.tell(news);
         runner.withdrawUnsent();
     }
 
+    /** Tells which engines leave service, as what follows for them is often asked after. */
+    private void tellChanges(Router.Members news) {
+        if (news.kind() != Router.ListKind.CHANGES) return;
+        String leaving = news.members().stream().filter(member -> member.state() != Router.State.READY)
+                .limit(MOST_ENGINES_TOLD).map(member -> Long.toHexString(member.engine()) + " " + member.state())
+                .collect(Collectors.joining(", "));
+        if (!leaving.isEmpty()) log.accept("list " + news.version() + ": " + leaving);
+    }
+
+    /** What happened so far, by kind and reason. */
+    public ServiceCounters counters() {
+        return counters;
+    }
+
     /** Requests that still wait for their final answer. */
     public int unanswered() {
         return registry.unanswered();
@@ -84,7 +110,7 @@
         else if (action instanceof Router.Cancel order) runner.cancel(order);
         else if (action instanceof Router.Release order) release(order.id());
         else if (action instanceof Router.Refuse refuse) refuse(refuse);
-        else if (action instanceof Router.Fail fail) fail(fail.id(), Why.ENGINE);
+        else if (action instanceof Router.Fail fail) fail(fail.id(), Why.ENGINE, fail.why());
         else if (action instanceof Router.SetTimer timer) {
             loop.at(timer.atMs(), () -> route.tell(new Router.Timer(timer.token())));
         } else if (action instanceof Router.Log line) log.accept(line.text());
@@ -98,29 +124,42 @@
 
     private void refuse(Router.Refuse order) {
         ActiveRequest active = registry.find(order.id());
-        if (active == null || !registry.answer(active)) return;
+        if (active == null || active.answered) return;
+        Reason verdict = ProtocolRules.refusal(active.state(settings.classes(), fleet), 0, loop.nowMs());
+        if (verdict != Reason.ALLOWED) {
+            monitor.breach(RuleMonitor.Breach.REFUSAL_WITHHELD, active.request.id(), verdict.name());
+            fail(order.id(), Why.ENGINE, order.why());
+            return;
+        }
+        registry.answer(active);
         registry.settle(active);
-        failureLog.bad(active, "refused");
+        counters.count(FinalAnswer.REFUSED);
+        counters.count(order.why());
+        failureLog.bad(active, "refused (" + order.why() + ")");
         active.caller.refuse(Why.OVERLOAD, order.retryAfterMs());
     }
 
-    private void fail(long number, Why why) {
+    private void fail(long number, Why why, Router.EndReason reason) {
         ActiveRequest active = registry.find(number);
         if (active == null || !registry.answer(active)) return;
         registry.settle(active);
-        failureLog.bad(active, why == Why.DEADLINE ? "not answered by its deadline" : "failed");
+        counters.count(FinalAnswer.FAILED);
+        counters.count(reason);
+        failureLog.bad(active, why == Why.DEADLINE ? "not answered by its deadline" : "failed (" + reason + ")");
         active.caller.fail(why);
     }
 
     /** The module gave no answer in time: nothing may be late for want of one. */
     private void overdue(ActiveRequest active) {
         if (active.answered || active.winner != null) return;
-        fail(active.number, Why.DEADLINE);
+        fail(active.number, Why.DEADLINE, Router.EndReason.DEADLINE);
         leave(active);
     }
 
     private void gone(ActiveRequest active) {
-        if (registry.answer(active)) leave(active);
+        if (!registry.answer(active)) return;
+        counters.count(FinalAnswer.CLIENT_LEFT);
+        leave(active);
     }
 
     private void leave(ActiveRequest active) {
--- a/src/main/java/maplerail/core/Engines.java
+++ b/src/main/java/maplerail/core/Engines.java
@@ -1,11 +1,15 @@
 package maplerail.core;
 
+import java.util.function.BooleanSupplier;
 import maplerail.Router;
 
 /** The port through which attempts go out. It must never make an attempt twice on its own. */
 public interface Engines {
-    /** Makes one attempt. The answer hears exactly one {@code ended}, never before this call returns. */
-    Sending send(long engine, ServiceRequest request, double untilMs, Answer answer);
+    /**
+     * Makes one attempt. The answer hears exactly one {@code ended}, never before this call returns. An attempt that
+     * had to wait for its connection asks whether it may still begin right before its first byte is written.
+     */
+    Sending send(long engine, ServiceRequest request, double untilMs, BooleanSupplier mayBegin, Answer answer);
 
     /** Lets go of what an engine holds for a request, trying again up to a time; tells once if the engine answers. */
     void release(long engine, String id, double untilMs, Runnable answered);
--- /dev/null
+++ b/src/main/java/maplerail/core/FinalAnswer.java
@@ -0,0 +1,6 @@
+package maplerail.core;
+
+/** How a request ended for its caller. */
+enum FinalAnswer {
+    SERVED, BROKEN, REFUSED, FAILED, NOT_ADMITTED, CLIENT_LEFT
+}
--- a/src/main/java/maplerail/core/Relay.java
+++ b/src/main/java/maplerail/core/Relay.java
@@ -7,11 +7,13 @@
     private final RequestRegistry registry;
     private final Loop loop;
     private final FailureLog failureLog;
+    private final ServiceCounters counters;
 
-    Relay(RequestRegistry registry, Loop loop, FailureLog failureLog) {
+    Relay(RequestRegistry registry, Loop loop, FailureLog failureLog, ServiceCounters counters) {
         this.registry = registry;
         this.loop = loop;
         this.failureLog = failureLog;
+        this.counters = counters;
     }
 
     void event(ActiveRequest.Attempt attempt, byte[] event) {
@@ -32,11 +34,12 @@
     void ended(ActiveRequest.Attempt attempt, Outcome outcome) {
         ActiveRequest active = attempt.active;
         if (!registry.answer(active)) return;
+        counters.count(outcome == Outcome.SERVED ? FinalAnswer.SERVED : FinalAnswer.BROKEN);
         if (outcome == Outcome.SERVED) {
             active.caller.end();
             return;
         }
-        failureLog.bad(active, "broken");
+        failureLog.bad(active, "broken (" + outcome + ")");
         active.caller.broken();
     }
 }
--- a/src/main/java/maplerail/core/RequestRegistry.java
+++ b/src/main/java/maplerail/core/RequestRegistry.java
@@ -3,9 +3,14 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import maplerail.Router;
+import maplerail.Router.Outcome;
+import maplerail.core.RuleMonitor.Breach;
 
 /** Last stage: the open requests. Each gets one final answer, and nothing is left held for it anywhere. */
 final class RequestRegistry {
+    private static final double SLACK_MS = 50; // that the rules on sockets add to each time limit
+    private static final double HELD_SLACK_MS = 300; // that they add to the limit on what is held
     /** After a release, when what a cut reader finished all the same is next let go. */
     private static final double FIRST_REPEAT_MS = 120;
     /** After a cut, for which a reader may read on. */
@@ -19,15 +24,19 @@
     private final Loop loop;
     private final Quotas quotas;
     private final double pinLimitMs;
+    private final double answerSlackMs;
+    private final RuleMonitor monitor;
     private final Map<Long, ActiveRequest> requests = new HashMap<>();
     private final Map<Long, Runnable> closers = new HashMap<>();
     private int unanswered;
 
-    RequestRegistry(Engines engines, Loop loop, Quotas quotas, double pinLimitMs) {
+    RequestRegistry(Engines engines, Loop loop, Quotas quotas, Router.Rules rules, RuleMonitor monitor) {
         this.engines = engines;
         this.loop = loop;
         this.quotas = quotas;
-        this.pinLimitMs = pinLimitMs;
+        this.pinLimitMs = rules.pinLimitMs();
+        this.answerSlackMs = rules.answerSlackMs() + SLACK_MS;
+        this.monitor = monitor;
     }
 
     void open(ActiveRequest active, Runnable closer) {
@@ -56,6 +65,10 @@
     boolean answer(ActiveRequest active) {
         if (active.answered) return false;
         active.answered = true;
+        double lateMs = loop.nowMs() - active.deadlineMs;
+        if (active.winner == null && lateMs > answerSlackMs) {
+            monitor.breach(Breach.ANSWER_LATE, active.request.id(), "by " + Math.round(lateMs) + " ms");
+        }
         unanswered--;
         if (active.guard != null) active.guard.cancel();
         if (active.admitted) quotas.left(active.request);
@@ -71,6 +84,7 @@
     }
 
     private void releaseAt(ActiveRequest active, long engine) {
+        checkHeld(active, engine);
         active.mayHold.remove(engine);
         active.holds.remove(engine);
         engines.release(engine, active.request.id(), loop.nowMs() + RETRY_LIMITS * pinLimitMs, () -> {});
@@ -87,6 +101,16 @@
         }
     }
 
+    private void checkHeld(ActiveRequest active, long engine) {
+        if (!active.holds.contains(engine)) return;
+        double heldMs = loop.nowMs()
+                - active.attempts.stream().filter(attempt -> attempt.outcome != Outcome.UNREACHABLE)
+                        .mapToDouble(attempt -> attempt.endedMs).max().orElse(loop.nowMs());
+        if (heldMs <= pinLimitMs + HELD_SLACK_MS) return;
+        monitor.breach(Breach.STATE_HELD, active.request.id(), "at " + Long.toHexString(engine) + " for "
+                + Math.round(heldMs) + " ms");
+    }
+
     /** After each end of an attempt: what cut reads left is released, and a request that is done is removed. */
     void settle(ActiveRequest active) {
         if (active.anyOut()) return;
--- a/src/main/java/maplerail/net/Call.java
+++ b/src/main/java/maplerail/net/Call.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import maplerail.core.Loop;
 import org.slf4j.Logger;
@@ -18,6 +19,7 @@
     private final Pool pool;
     private final Supplier<ClientRequest> request;
     private final byte[] body;
+    private final BooleanSupplier mayBegin;
     private final Reply reply;
     private final AnswerReader reader;
     private final boolean urgent;
@@ -26,6 +28,7 @@
     private Link link;
     private Runnable disconnect;
     private Loop.Alarm limit;
+    private boolean waited;
     private boolean wrote;
     private boolean paused;
     private boolean reading;
@@ -34,10 +37,12 @@
     private int unitsSeen;
 
     /** Makes a call whose head is asked for when it is about to be written: what it tells of time must hold then. */
-    Call(Pool pool, Supplier<ClientRequest> request, byte[] body, Reply reply, boolean urgent) {
+    Call(Pool pool, Supplier<ClientRequest> request, byte[] body, BooleanSupplier mayBegin, Reply reply,
+            boolean urgent) {
         this.pool = pool;
         this.request = request;
         this.body = body;
+        this.mayBegin = mayBegin;
         this.reply = reply;
         this.reader = new AnswerReader(reply);
         this.urgent = urgent;
@@ -90,6 +95,7 @@
     /** While it has no connection: when to give up waiting for one, and how. */
     void connecting(Loop.Alarm alarm, Runnable cancel) {
         calm();
+        waited = true;
         limit = alarm;
         disconnect = cancel;
     }
@@ -101,6 +107,11 @@
     void on(Link to) {
         calm();
         disconnect = null;
+        if (waited && !mayBegin.getAsBoolean()) {
+            abort();
+            pool.keep(to);
+            return;
+        }
         link = to;
         bytes = bytes(request.get(), body);
         link.connection.getSourceChannel().setReadListener(c -> read());
--- a/src/main/java/maplerail/net/EngineClient.java
+++ b/src/main/java/maplerail/net/EngineClient.java
@@ -12,6 +12,7 @@
 import java.util.HashMap;
 import java.util.Locale;
 import java.util.Map;
+import java.util.function.BooleanSupplier;
 import maplerail.Router.Outcome;
 import maplerail.config.ConfigException;
 import maplerail.config.Tree;
@@ -42,10 +43,12 @@
     }
 
     @Override
-    public Sending send(long engine, ServiceRequest request, double untilMs, Answer answer) {
+    public Sending send(long engine, ServiceRequest request, double untilMs, BooleanSupplier mayBegin,
+            Answer answer) {
         HttpPayload payload = (HttpPayload) request.payload();
         InetSocketAddress to = addresses.get(engine);
-        Call call = pool.start(to, () -> request(to, payload, untilMs), payload.body(), new Incoming(answer));
+        Call call = pool.start(to, () -> request(to, payload, untilMs), payload.body(), mayBegin,
+                new Incoming(answer));
         return new CallSending(call);
     }
 
--- a/src/main/java/maplerail/net/Pool.java
+++ b/src/main/java/maplerail/net/Pool.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.xnio.IoFuture;
 import org.xnio.OptionMap;
@@ -58,12 +59,16 @@
     /** Starts a request; the reply hears of it after this call has returned. */
     public Call start(InetSocketAddress to, ClientRequest request, byte[] body, Reply reply) {
         boolean urgent = !request.getMethod().equals(Methods.POST);
-        return start(to, new Call(this, () -> request, body, reply, urgent));
+        return start(to, new Call(this, () -> request, body, () -> true, reply, urgent));
     }
 
-    /** Starts a request whose head is made only once there is a connection for it. */
-    public Call start(InetSocketAddress to, Supplier<ClientRequest> request, byte[] body, Reply reply) {
-        return start(to, new Call(this, request, body, reply, false));
+    /**
+     * Starts a request whose head is made only once there is a connection for it. If it has to wait for one, it asks
+     * before its first byte whether it may still begin; who says no gives the call up.
+     */
+    public Call start(InetSocketAddress to, Supplier<ClientRequest> request, byte[] body, BooleanSupplier mayBegin,
+            Reply reply) {
+        return start(to, new Call(this, request, body, mayBegin, reply, false));
     }
 
     private Call start(InetSocketAddress to, Call call) {
--- a/src/main/java/maplerail/net/ToolClient.java
+++ b/src/main/java/maplerail/net/ToolClient.java
@@ -12,6 +12,7 @@
 import java.util.HashMap;
 import java.util.Locale;
 import java.util.Map;
+import java.util.function.BooleanSupplier;
 import maplerail.Router.Outcome;
 import maplerail.core.ServiceRequest;
 import maplerail.core.Engines;
@@ -40,11 +41,13 @@
     }
 
     @Override
-    public Sending send(long engine, ServiceRequest request, double untilMs, Answer answer) {
+    public Sending send(long engine, ServiceRequest request, double untilMs, BooleanSupplier mayBegin,
+            Answer answer) {
         ToolPayload payload = (ToolPayload) request.payload();
         InetSocketAddress to = addresses.get(engine);
         Incoming incoming = new Incoming(answer, payload.mostReply());
-        incoming.call = pool.start(to, () -> request(to, request.id(), payload, untilMs), payload.message(), incoming);
+        incoming.call = pool.start(to, () -> request(to, request.id(), payload, untilMs), payload.message(),
+                mayBegin, incoming);
         return new CallSending(incoming.call);
     }
 
--- a/src/test/java/maplerail/ArchitectureTest.java
+++ b/src/test/java/maplerail/ArchitectureTest.java
@@ -20,19 +20,20 @@
             .withImportOption(new ImportOption.DoNotIncludeTests()).importPackages("maplerail");
 
     private static final DescribedPredicate<JavaClass> LOGIC_ROUTER_OR_JDK = DescribedPredicate.describe(
-            "Logic, Router or java.*", c -> c.getName().startsWith("maplerail.Logic")
-                    || c.getName().startsWith("maplerail.Router") || c.getPackageName().startsWith("java.")
+            "Logic, Router, policy or java.*", c -> c.getName().startsWith("maplerail.Logic")
+                    || c.getName().startsWith("maplerail.Router") || c.getPackageName().equals("maplerail.policy")
+                    || c.getPackageName().startsWith("java.")
                     || c.isPrimitive() || c.isArray());
 
     @Test
     void logicKnowsOnlyRouterAndTheJdk() {
-        ArchRuleDefinition.classes().that().haveNameMatching("maplerail\\.(Logic|Router).*")
+        ArchRuleDefinition.classes().that().haveNameMatching("maplerail\\.(Logic|Router|policy\\.).*")
                 .should().onlyDependOnClassesThat(LOGIC_ROUTER_OR_JDK).check(classes);
     }
 
     @Test
     void logicHasNoClockNoInputNoThreads() {
-        ArchRuleDefinition.noClasses().that().haveNameMatching("maplerail\\.Logic.*")
+        ArchRuleDefinition.noClasses().that().haveNameMatching("maplerail\\.(Logic|policy\\.).*")
                 .should().dependOnClassesThat().resideInAnyPackage("java.io..", "java.nio..", "java.net..",
                         "java.time..", "java.util.concurrent..")
                 .orShould().callMethod(System.class, "nanoTime").orShould()
--- a/src/test/java/maplerail/FailoverTest.java
+++ b/src/test/java/maplerail/FailoverTest.java
@@ -435,7 +435,7 @@
             node.retryAfter = allowed;
             node.start(reader(1));
             node.arrive(1, 0, 0, 1_000, 0);
-            assertEquals(List.of(new Refuse(1, allowed ? 1_000 : 0)), node.of(Refuse.class));
+            assertEquals(List.of(new Refuse(1, allowed ? 1_000 : 0, Router.EndReason.DEADLINE)), node.of(Refuse.class));
         }
     }
 }
--- a/src/test/java/maplerail/LogicTest.java
+++ b/src/test/java/maplerail/LogicTest.java
@@ -396,7 +396,7 @@
         node.arrive(1);
         node.end(1, 0, Outcome.READ);
         List<Router.Action> answer = node.end(1, 1, Outcome.ERROR);
-        assertTrue(answer.contains(new Fail(1)));
+        assertTrue(answer.contains(new Fail(1, Router.EndReason.MAY_HAVE_RUN)));
         assertTrue(answer.contains(new Release(1)));
     }
 
--- a/src/test/java/maplerail/core/BrokerTest.java
+++ b/src/test/java/maplerail/core/BrokerTest.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.PriorityQueue;
+import java.util.function.BooleanSupplier;
 import maplerail.Router;
 import maplerail.Router.Cancel;
 import maplerail.Router.Ended;
@@ -124,7 +125,8 @@
                 new Router.Limits(5, true, true, true, 1_000, false), new Router.Rules(8, pinLimitMs, 1, 1, 1, 1, 1));
         Engines engines = new Engines() {
             @Override
-            public Sending send(long engine, ServiceRequest request, double untilMs, Answer answer) {
+            public Sending send(long engine, ServiceRequest request, double untilMs, BooleanSupplier mayBegin,
+                    Answer answer) {
                 out.add(new Out(answer));
                 return out.get(out.size() - 1);
             }
--- a/src/test/java/maplerail/net/EngineClientTest.java
+++ b/src/test/java/maplerail/net/EngineClientTest.java
@@ -76,9 +76,9 @@
             EngineClient client = client(engine, 1);
             double startMs = loop.nowMs();
             double untilMs = startMs + 60_000;
-            loop.execute(() -> client.send(ENGINE, request("first"), untilMs, new Heard()));
+            loop.execute(() -> client.send(ENGINE, request("first"), untilMs, () -> true, new Heard()));
             StandIn.Exchange first = take(asked);
-            loop.execute(() -> client.send(ENGINE, request("second"), untilMs, new Heard()));
+            loop.execute(() -> client.send(ENGINE, request("second"), untilMs, () -> true, new Heard()));
             await("time has passed", () -> loop.nowMs() >= startMs + 400);
             double writtenAfterMs = loop.nowMs();
             first.reply(202, "");
--- /dev/null
+++ b/src/test/java/maplerail/policy/ProtocolRulesTest.java
@@ -0,0 +1,88 @@
+package maplerail.policy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import maplerail.Router.Limits;
+import maplerail.Router.Repeat;
+import maplerail.Router.RequestClass;
+import maplerail.Router.Role;
+import maplerail.Router.Scope;
+import maplerail.policy.ProtocolRules.Reason;
+import maplerail.policy.ProtocolRules.Target;
+import maplerail.policy.RequestState.FirstRun;
+import org.junit.jupiter.api.Test;
+
+class ProtocolRulesTest {
+    private static final Limits LIMITS = new Limits(3, true, false, true, 1_000, false);
+    private static final Target WRITER = new Target(Role.WRITE, true, 1, 1);
+    private static final Target READER = new Target(Role.READ, true, 1, 1);
+    private static final double DEADLINE_MS = 5_000;
+    private static final double WINDOW_MS = 1_000;
+
+    private static RequestState state(Repeat repeat, Scope scope, int attempts, int out, FirstRun first) {
+        RequestClass requestClass = new RequestClass(1_000, 0, DEADLINE_MS, 0, 1, 0, repeat, scope, WINDOW_MS);
+        return new RequestState(requestClass, false, attempts, out, DEADLINE_MS, first);
+    }
+
+    private static Reason send(RequestState state, Target target, double nowMs) {
+        return ProtocolRules.send(state, target, LIMITS, nowMs);
+    }
+
+    @Test
+    void aFirstAttemptIsAllowedUpToTheDeadlineAtAnEngineInService() {
+        RequestState fresh = state(Repeat.UNSAFE, Scope.ALL, 0, 0, null);
+        assertThat(send(fresh, WRITER, 4_999)).isEqualTo(Reason.ALLOWED);
+        assertThat(send(fresh, WRITER, 5_000)).isEqualTo(Reason.DEADLINE_PASSED);
+        assertThat(send(fresh, new Target(Role.WRITE, false, 1, 1), 0)).isEqualTo(Reason.ENGINE_NOT_IN_SERVICE);
+        RequestState over = new RequestState(fresh.requestClass(), true, 0, 0, DEADLINE_MS, null);
+        assertThat(send(over, WRITER, 0)).isEqualTo(Reason.REQUEST_OVER);
+    }
+
+    @Test
+    void attemptsAreLimitedInNumberAndNeverOutTogether() {
+        assertThat(send(state(Repeat.PURE, Scope.ALL, 3, 0, null), WRITER, 0)).isEqualTo(Reason.ATTEMPTS_SPENT);
+        assertThat(send(state(Repeat.PURE, Scope.ALL, 1, 1, null), WRITER, 0)).isEqualTo(Reason.ATTEMPT_OUT);
+        Limits copies = new Limits(3, true, true, true, 1_000, false);
+        assertThat(ProtocolRules.attempt(state(Repeat.PURE, Scope.ALL, 1, 1, null), copies)).isEqualTo(Reason.ALLOWED);
+    }
+
+    @Test
+    void whatMayHaveRunGoesAgainOnlyWhereItsClassAllowsIt() {
+        FirstRun first = new FirstRun(100, 1, 2);
+        assertThat(send(state(Repeat.PURE, Scope.ALL, 1, 0, first), WRITER, 200)).isEqualTo(Reason.ALLOWED);
+        assertThat(send(state(Repeat.UNSAFE, Scope.ALL, 1, 0, first), WRITER, 200)).isEqualTo(Reason.MAY_HAVE_RUN);
+        assertThat(send(state(Repeat.UNSAFE, Scope.ALL, 1, 0, first), READER, 200)).isEqualTo(Reason.ALLOWED);
+        assertThat(send(state(Repeat.KEYED, Scope.ALL, 1, 0, first), WRITER, 1_099)).isEqualTo(Reason.ALLOWED);
+        assertThat(send(state(Repeat.KEYED, Scope.ALL, 1, 0, first), WRITER, 1_100))
+                .isEqualTo(Reason.REPEAT_WINDOW_OVER);
+        assertThat(send(state(Repeat.KEYED, Scope.ZONE, 1, 0, first), WRITER, 200)).isEqualTo(Reason.ALLOWED);
+        assertThat(send(state(Repeat.KEYED, Scope.CELL, 1, 0, first), WRITER, 200))
+                .isEqualTo(Reason.OUTSIDE_REPEAT_SCOPE);
+    }
+
+    @Test
+    void aRefusalPromisesThatARepeatIsHarmless() {
+        FirstRun first = new FirstRun(100, 1, 2);
+        assertThat(refusal(Repeat.PURE, Scope.ALL, 1, first)).isEqualTo(Reason.ALLOWED);
+        assertThat(refusal(Repeat.UNSAFE, Scope.ALL, 0, null)).isEqualTo(Reason.ALLOWED);
+        assertThat(refusal(Repeat.UNSAFE, Scope.ALL, 1, null)).isEqualTo(Reason.ATTEMPT_OUT);
+        assertThat(refusal(Repeat.UNSAFE, Scope.ALL, 0, first)).isEqualTo(Reason.MAY_HAVE_RUN);
+        assertThat(refusal(Repeat.KEYED, Scope.ALL, 0, first)).isEqualTo(Reason.ALLOWED);
+        assertThat(refusal(Repeat.KEYED, Scope.ZONE, 0, first)).isEqualTo(Reason.OUTSIDE_REPEAT_SCOPE);
+        assertThat(ProtocolRules.refusal(state(Repeat.KEYED, Scope.ALL, 1, 0, first), 10, 1_090))
+                .isEqualTo(Reason.REPEAT_WINDOW_OVER);
+    }
+
+    private static Reason refusal(Repeat repeat, Scope scope, int out, FirstRun first) {
+        return ProtocolRules.refusal(state(repeat, scope, 1, out, first), 0, 200);
+    }
+
+    @Test
+    void aConnectionIsClosedOnlyWhenItIsNotInUseAndItsClientNoLongerReliesOnIt() {
+        assertThat(ProtocolRules.close(true, 9_000, 2_000)).isEqualTo(Reason.CONNECTION_IN_USE);
+        assertThat(ProtocolRules.close(false, 1_999, 2_000)).isEqualTo(Reason.CONNECTION_FRESH);
+        assertThat(ProtocolRules.close(false, 2_000, 2_000)).isEqualTo(Reason.ALLOWED);
+        assertThat(ProtocolRules.start(true)).isEqualTo(Reason.SHUTTING_DOWN);
+        assertThat(ProtocolRules.start(false)).isEqualTo(Reason.ALLOWED);
+    }
+}
