Add a randomized fault soak with real gateway processes, a fault proxy and a system-call shim

maplerail.soak: gateways started by the deploy file's line under a preloaded shim (wall clock, accept, connect, socket, reads, waits, opening the configuration), engines behind a proxy (silence, cut, reset, hold), an agent for each gateway, clients that leave or are bad; up to three troubles at a time, drawn from the seed. A ledger of what clients and engines saw judges by the protocol's rules.

--- /dev/null
+++ b/src/test/java/maplerail/soak/GatewayProcess.java
@@ -0,0 +1,175 @@
+package maplerail.soak;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.concurrent.TimeUnit;
+
+/** One gateway: a real process, started by the deploy file's line, with its own agent, configuration and shim. */
+final class GatewayProcess implements AutoCloseable {
+    private static final double READY_LIMIT_MS = 10_000;
+    private static final int LOOK_MS = 20;
+    private static final int ASK_TIMEOUT_MS = 500;
+
+    final String name;
+    final int port;
+    final ShimControl shim;
+    private final Path folder;
+    private final Path shimLibrary;
+    private final String command;
+    private final Directory directory;
+    private final Ledger ledger;
+    private final SoakSettings settings;
+    private DiscoveryAgent agent;
+    private String known = "";
+    private long starts;
+    private volatile Process process;
+    private volatile boolean up;
+    private volatile boolean ending;
+
+    GatewayProcess(String name, Path folder, Path shimLibrary, String command, Directory directory, Ledger ledger,
+            SoakSettings settings) throws IOException {
+        this.name = name;
+        this.folder = Files.createDirectories(folder.resolve(name));
+        this.shimLibrary = shimLibrary;
+        this.command = command;
+        this.directory = directory;
+        this.ledger = ledger;
+        this.settings = settings;
+        shim = new ShimControl(this.folder.resolve("control"));
+        agent = new DiscoveryAgent(name, directory, ledger);
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            port = free.getLocalPort();
+        }
+        known = directory.since(-1, entry -> {});
+    }
+
+    private Path config() {
+        return folder.resolve("config.json");
+    }
+
+    private void writeConfig() throws IOException {
+        Path next = folder.resolve("next");
+        Files.writeString(next, "{\"name\":\"" + name + "\",\"listen\":\"127.0.0.1:" + port + "\",\"discovery\":\""
+                + agent.address() + "\",\"seed\":\"" + Long.toHexString(name.hashCode() * 31L + ++starts)
+                + "\",\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":512},\"known\":" + known + ",\"settings\":"
+                + settings.json() + "}");
+        Files.move(next, config(), StandardCopyOption.REPLACE_EXISTING, StandardCopyOption.ATOMIC_MOVE);
+    }
+
+    /** True while it is in the front's list: ready, and not told to end. */
+    boolean takesClients() {
+        return up && !ending;
+    }
+
+    /** Starts it and waits until it is ready. */
+    void start() throws Exception {
+        writeConfig();
+        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", command);
+        builder.environment().put("RELAY_CONFIG", config().toString());
+        builder.environment().put("LD_PRELOAD", shimLibrary.toString());
+        builder.environment().put("FAULTSHIM_CONTROL", folder.resolve("control").toString());
+        builder.redirectErrorStream(true)
+                .redirectOutput(ProcessBuilder.Redirect.appendTo(folder.resolve("log").toFile()));
+        double startMs = Ledger.nowMs();
+        ending = false;
+        process = builder.start();
+        Process mine = process;
+        mine.onExit().thenAccept(this::exited);
+        while (mine.isAlive() && !ready()) {
+            if (Ledger.nowMs() - startMs > READY_LIMIT_MS) {
+                ledger.breach(Ledger.Rule.READY_IN_TIME, null, name + " is not ready after " + READY_LIMIT_MS + " ms");
+                return;
+            }
+            TimeUnit.MILLISECONDS.sleep(LOOK_MS);
+        }
+        up = mine.isAlive();
+    }
+
+    private void exited(Process ended) {
+        if (ended != process) return;
+        up = false;
+        if (!ending) ledger.breach(Ledger.Rule.CRASH, null, name + " ended by itself with " + ended.exitValue());
+    }
+
+    private boolean ready() {
+        try (Socket socket = new Socket(InetAddress.getByName("127.0.0.1"), port)) {
+            socket.setSoTimeout(ASK_TIMEOUT_MS);
+            socket.getOutputStream().write("GET /-/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+                    .getBytes(StandardCharsets.US_ASCII));
+            return new String(socket.getInputStream().readNBytes(12), StandardCharsets.US_ASCII).endsWith("200");
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    private void signal(String which) throws Exception {
+        if (process.isAlive()) new ProcessBuilder("kill", "-" + which, "" + process.pid()).start().waitFor();
+    }
+
+    /** SIGTERM, then SIGKILL no sooner than the page allows, then a new start on the list as it was at the end. */
+    void restart() throws Exception {
+        ending = true;
+        known = directory.since(-1, entry -> {});
+        process.destroy();
+        if (!process.waitFor((long) (settings.deadlineMs + 700), TimeUnit.MILLISECONDS)) kill();
+        up = false;
+        start();
+    }
+
+    /** SIGKILL and a new start. */
+    void crashAndStart() throws Exception {
+        ending = true;
+        up = false;
+        known = directory.since(-1, entry -> {});
+        kill();
+        start();
+    }
+
+    private void kill() throws InterruptedException {
+        process.destroyForcibly();
+        process.waitFor();
+        ledger.killed(name);
+    }
+
+    /** A new configuration moves discovery; the old agent closes what is open after 1.5 s. */
+    void moveDiscovery(int configErrno, int failForMs) throws Exception {
+        DiscoveryAgent old = agent;
+        agent = new DiscoveryAgent(name, directory, ledger);
+        shim.set(ShimControl.Field.OPEN_ERRNO, configErrno);
+        writeConfig();
+        signal("HUP");
+        TimeUnit.MILLISECONDS.sleep(failForMs);
+        shim.set(ShimControl.Field.OPEN_ERRNO, 0);
+        old.close();
+        TimeUnit.MILLISECONDS.sleep(1_500);
+        old.silence(true);
+    }
+
+    /** Holds the whole process up. */
+    void stall(int forMs) throws Exception {
+        signal("STOP");
+        TimeUnit.MILLISECONDS.sleep(forMs);
+        signal("CONT");
+    }
+
+    DiscoveryAgent agent() {
+        return agent;
+    }
+
+    Path log() {
+        return folder.resolve("log");
+    }
+
+    @Override
+    public void close() throws IOException {
+        ending = true;
+        process.destroyForcibly();
+        agent.close();
+    }
+}
--- /dev/null
+++ b/src/test/java/maplerail/soak/Ledger.java
@@ -0,0 +1,333 @@
+package maplerail.soak;
+
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * What really happened, as clients and engines saw it, and the oracle of the soak: it knows the rules and nothing of the
+ * gateway's code. All times are milliseconds of this process's monotonic clock. Safe for use by many threads.
+ */
+final class Ledger {
+    /** What a gateway has to keep. */
+    enum Rule {
+        FINAL_ANSWER, CONNECTION_CLOSED_OVER_A_REQUEST, WHOLE_STREAM, ONE_EFFECT, ONE_ATTEMPT_OUT, ATTEMPT_LIMIT, DRAIN,
+        HELD_STATE, CLIENT_GONE, TOLD_DEADLINE, UNKNOWN_REQUEST, COLD_OVERLOAD, BAD_CLIENT, READY_IN_TIME, CRASH,
+        SERVICE_AFTER_TROUBLE
+    }
+
+    /** How often a class may take effect. */
+    enum Repeat {
+        PURE, KEYED, UNSAFE
+    }
+
+    /** What the soak allows beside the rules, as its own threads run late on a busy machine. */
+    private static final double OWN_SLACK_MS = 60;
+    private static final double DRAIN_GRACE_MS = 300;
+    private static final double CLIENT_GONE_MS = 100;
+    private static final double OVERLAP_MS = 250; // the proxy may hold bytes, and so a close, for 200 ms
+    private static final double TOLD_SLACK_MS = 150;
+    private static final double HELD_SLACK_MS = 300;
+    private static final int MOST_TOLD_OF_A_RULE = 3;
+
+    private final double pinLimitMs;
+    private final double keyWindowMs;
+    private final int mostAttempts;
+    private final Map<String, Request> requests = new HashMap<>();
+    private final Map<String, Double> drainToldMs = new HashMap<>();
+    private final Map<Integer, Attempt> byConnection = new HashMap<>();
+    private final Map<Rule, Integer> broken = new EnumMap<>(Rule.class);
+    private final List<String> reports = new ArrayList<>();
+    private final List<Overlap> overlaps = new ArrayList<>();
+    private final Set<String> unreachable = new HashSet<>();
+    private int served;
+    private int refused;
+    private int failed;
+
+    Ledger(double pinLimitMs, double keyWindowMs, int mostAttempts) {
+        this.pinLimitMs = pinLimitMs;
+        this.keyWindowMs = keyWindowMs;
+        this.mostAttempts = mostAttempts;
+    }
+
+    static double nowMs() {
+        return System.nanoTime() / 1e6;
+    }
+
+    /** A client's request and all that became of it. */
+    static final class Request {
+        final String id;
+        final Repeat repeat;
+        final String gateway;
+        final double sentMs;
+        final double deadlineMs;
+        final List<Attempt> attempts = new ArrayList<>();
+        final List<String> timeline = new ArrayList<>();
+        /** Engines that hold a state for it, and since when. */
+        final Map<String, Double> held = new HashMap<>();
+        double leftMs = Double.NaN;
+        boolean ownerKilled;
+        boolean heldReported;
+
+        Request(String id, Repeat repeat, String gateway, double sentMs, double deadlineMs) {
+            this.id = id;
+            this.repeat = repeat;
+            this.gateway = gateway;
+            this.sentMs = sentMs;
+            this.deadlineMs = deadlineMs;
+        }
+
+        void note(String what) {
+            timeline.add(String.format(Locale.ROOT, "%+.0f ms %s", nowMs() - sentMs, what));
+        }
+    }
+
+    /** Two attempts of a request that may have been out together. */
+    private record Overlap(Attempt earlier, Attempt later) {}
+
+    /** An attempt as its engine saw it. */
+    static final class Attempt {
+        final Request request;
+        final String engine;
+        final boolean reader;
+        final double beganMs;
+        double endedMs = Double.NaN;
+        boolean neverRan;
+        boolean finished;
+        boolean disturbed;
+        String streamed = "";
+
+        Attempt(Request request, String engine, boolean reader, double beganMs) {
+            this.request = request;
+            this.engine = engine;
+            this.reader = reader;
+            this.beganMs = beganMs;
+        }
+
+        boolean out() {
+            return Double.isNaN(endedMs);
+        }
+    }
+
+    synchronized void breach(Rule rule, Request request, String detail) {
+        int before = broken.merge(rule, 1, Integer::sum);
+        if (before > MOST_TOLD_OF_A_RULE) return;
+        StringBuilder report = new StringBuilder(rule + ": " + detail);
+        if (request != null) {
+            report.append("\n    request ").append(request.id).append(" ").append(request.repeat).append(" at ")
+                    .append(request.gateway);
+            request.timeline.forEach(line -> report.append("\n      ").append(line));
+        }
+        reports.add(report.toString());
+    }
+
+    synchronized Request sent(String id, Repeat repeat, String gateway, double budgetMs) {
+        double now = nowMs();
+        Request request = new Request(id, repeat, gateway, now, now + budgetMs);
+        request.note("sent, deadline " + Math.round(budgetMs));
+        requests.put(id, request);
+        return request;
+    }
+
+    synchronized void note(Request request, String what) {
+        request.note(what);
+    }
+
+    synchronized void left(Request request) {
+        request.leftMs = nowMs();
+        request.note("client closed");
+    }
+
+    synchronized void answered(Request request, String how) {
+        request.note("answered: " + how);
+        switch (how) {
+            case "served" -> served++;
+            case "refused" -> refused++;
+            default -> failed++;
+        }
+    }
+
+    /** A gateway was killed outright: what it held and owed is nobody's any more. */
+    synchronized void killed(String gateway) {
+        for (Request request : requests.values()) {
+            if (!request.gateway.equals(gateway)) continue;
+            request.ownerKilled = true;
+            request.note("gateway killed");
+        }
+    }
+
+    /** Discovery has told a gateway that an engine drains or is gone; or that it is in service again. */
+    synchronized void told(String gateway, String engine, boolean inService) {
+        String key = gateway + " " + engine;
+        if (inService) drainToldMs.remove(key);
+        else drainToldMs.putIfAbsent(key, nowMs());
+    }
+
+    synchronized void reach(String engine, boolean reachable) {
+        if (reachable) unreachable.remove(engine);
+        else unreachable.add(engine);
+        // What is held there can be let go only from now on.
+        if (!reachable) return;
+        for (Request request : requests.values()) {
+            if (request.held.containsKey(engine)) request.held.put(engine, nowMs());
+        }
+    }
+
+    /** The last byte of an attempt has come to its engine; null if no client sent its request. */
+    synchronized Attempt began(String id, String engine, boolean reader, double firstByteMs, double toldMs,
+            int connection) {
+        Request request = requests.get(id);
+        if (request == null) {
+            breach(Rule.UNKNOWN_REQUEST, null, id + " at " + engine);
+            return null;
+        }
+        double now = nowMs();
+        Attempt attempt = new Attempt(request, engine, reader, now);
+        request.note((reader ? "read" : "write") + " begins at " + engine + ", told " + Math.round(toldMs));
+        check(request, attempt, firstByteMs, toldMs);
+        request.attempts.add(attempt);
+        byConnection.put(connection, attempt);
+        return attempt;
+    }
+
+    private void check(Request request, Attempt attempt, double firstByteMs, double toldMs) {
+        if (request.attempts.size() >= mostAttempts) breach(Rule.ATTEMPT_LIMIT, request, "one more at " + attempt.engine);
+        for (Attempt other : request.attempts) {
+            if (other.out() && !request.ownerKilled) overlaps.add(new Overlap(other, attempt));
+        }
+        if (firstByteMs > request.leftMs + CLIENT_GONE_MS + OWN_SLACK_MS) {
+            breach(Rule.CLIENT_GONE, request, "begun " + Math.round(firstByteMs - request.leftMs) + " ms after its client left");
+        }
+        if (toldMs > request.deadlineMs - firstByteMs + TOLD_SLACK_MS + OWN_SLACK_MS) {
+            breach(Rule.TOLD_DEADLINE, request, "told " + Math.round(toldMs) + " of "
+                    + Math.round(request.deadlineMs - firstByteMs));
+        }
+        Double told = drainToldMs.get(request.gateway + " " + attempt.engine);
+        if (told != null && firstByteMs > told + DRAIN_GRACE_MS + OWN_SLACK_MS) {
+            breach(Rule.DRAIN, request, attempt.engine + " " + Math.round(firstByteMs - told) + " ms after the news");
+        }
+        if (attempt.reader || request.repeat == Repeat.PURE) return;
+        request.attempts.stream().filter(a -> !a.reader && !a.neverRan).findFirst().ifPresent(first -> {
+            boolean inWindow = request.repeat == Repeat.KEYED && attempt.beganMs <= first.beganMs + keyWindowMs
+                    + OWN_SLACK_MS;
+            if (!inWindow) breach(Rule.ONE_EFFECT, request, "again at " + attempt.engine);
+        });
+    }
+
+    synchronized void ended(Attempt attempt, String how, boolean neverRan) {
+        if (!attempt.out()) return;
+        attempt.endedMs = nowMs();
+        attempt.neverRan = neverRan;
+        attempt.request.note((attempt.reader ? "read" : "write") + " at " + attempt.engine + " ends: " + how);
+    }
+
+    synchronized void streamed(Attempt attempt, String text, boolean last) {
+        attempt.streamed += text;
+        attempt.finished |= last;
+    }
+
+    /** The gateway has closed a connection, whether or not its engine can know. */
+    synchronized void connectionGivenUp(int connection) {
+        Attempt attempt = byConnection.remove(connection);
+        if (attempt != null && attempt.out()) ended(attempt, "given up", false);
+    }
+
+    /** The network did something to a connection: what its engine sends may not arrive. */
+    synchronized void connectionDisturbed(int connection) {
+        Attempt attempt = byConnection.get(connection);
+        if (attempt == null) return;
+        attempt.disturbed = true;
+        // An answer that will not come tells the gateway nothing: to the rules such an attempt is not out.
+        if (attempt.out()) ended(attempt, "its connection falls silent", false);
+    }
+
+    /** A reader has read a prompt and holds its state from now on. */
+    synchronized void held(Request request, String engine) {
+        request.held.put(engine, nowMs());
+        request.note("state held at " + engine);
+    }
+
+    /** A writer fetches the state: true if any reader still held it. */
+    synchronized boolean taken(Request request, String writer) {
+        boolean any = !request.held.isEmpty();
+        request.held.clear();
+        if (any) request.note("state taken by " + writer);
+        return any;
+    }
+
+    synchronized void released(String id) {
+        Request request = requests.get(id);
+        if (request == null) return;
+        if (!request.held.isEmpty()) request.note("state released");
+        request.held.clear();
+    }
+
+    /** An engine has died, and what it held with it. */
+    synchronized void died(String engine) {
+        for (Request request : requests.values()) {
+            request.held.remove(engine);
+            for (Attempt attempt : request.attempts) {
+                if (attempt.engine.equals(engine) && attempt.out()) ended(attempt, "engine died", false);
+            }
+        }
+    }
+
+    /** Looks for states that have been held for too long with no attempt out, and for two attempts out together. */
+    synchronized void check() {
+        double now = nowMs();
+        checkOverlaps(now);
+        for (Request request : requests.values()) {
+            if (request.held.isEmpty() || request.ownerKilled || request.heldReported) continue;
+            if (request.attempts.stream().anyMatch(Attempt::out)) continue;
+            double lastEndMs = request.attempts.stream().mapToDouble(a -> a.endedMs).max().orElse(now);
+            request.held.forEach((engine, sinceMs) -> {
+                double heldMs = now - Math.max(sinceMs, lastEndMs);
+                if (unreachable.contains(engine) || heldMs <= pinLimitMs + HELD_SLACK_MS + OWN_SLACK_MS) return;
+                request.heldReported = true;
+                breach(Rule.HELD_STATE, request, "at " + engine + " for " + Math.round(heldMs) + " ms");
+            });
+        }
+    }
+
+    /** The end of one attempt and the start of the next come on two connections, in either order. */
+    private void checkOverlaps(double now) {
+        List<Overlap> due = overlaps.stream().filter(o -> now - o.later().beganMs > 2 * OVERLAP_MS).toList();
+        overlaps.removeAll(due);
+        for (Overlap overlap : due) {
+            Request request = overlap.later().request;
+            boolean closedInTime = overlap.earlier().endedMs - overlap.later().beganMs <= OVERLAP_MS;
+            if (closedInTime || request.ownerKilled) continue;
+            breach(Rule.ONE_ATTEMPT_OUT, request, "at " + overlap.earlier().engine + " and " + overlap.later().engine);
+        }
+    }
+
+    /** Whether some engine began the request. */
+    synchronized boolean begun(Request request) {
+        return !request.attempts.isEmpty();
+    }
+
+    /** Checks what a client got as a whole stream, or as one that broke off, against what engines sent. */
+    synchronized void checkStream(Request request, String text, boolean whole) {
+        if (whole && request.attempts.stream().noneMatch(a -> a.streamed.equals(text))) {
+            breach(Rule.WHOLE_STREAM, request, "ended as whole with " + text.length() + " characters that no engine sent");
+        }
+        boolean lost = !whole && request.attempts.stream().anyMatch(a -> a.finished && !a.disturbed);
+        if (lost && !request.ownerKilled) breach(Rule.WHOLE_STREAM, request, "a finished stream was cut");
+    }
+
+    synchronized int breaches() {
+        return broken.values().stream().mapToInt(Integer::intValue).sum();
+    }
+
+    synchronized String summary() {
+        StringBuilder text = new StringBuilder(String.format(Locale.ROOT,
+                "requests %d served %d refused %d failed %d; broken %s", requests.size(), served, refused, failed, broken));
+        reports.forEach(report -> text.append("\n  ").append(report));
+        return text.toString();
+    }
+}
--- /dev/null
+++ b/src/test/java/maplerail/soak/SoakFleet.java
@@ -0,0 +1,105 @@
+package maplerail.soak;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+
+/** Gateways, engines, agents and clients of one run. */
+final class SoakFleet implements AutoCloseable {
+    private static final int READERS = 5;
+    private static final int WRITERS = 5;
+    private static final int HELD_LOOK_MS = 20;
+
+    final Ledger ledger;
+    final Directory directory = new Directory();
+    final List<EngineStandIn> engines = new ArrayList<>();
+    final List<GatewayProcess> gateways = new ArrayList<>();
+    final List<LoadClients> clients = new ArrayList<>();
+    private final Set<Object> busy = ConcurrentHashMap.newKeySet();
+    private volatile boolean closed;
+
+    /** Something that is done to an engine. */
+    interface EngineTrouble {
+        void befall(EngineStandIn engine) throws Exception;
+    }
+
+    SoakFleet(SoakSettings settings, Path folder, Path shim, String command, SplittableRandom random) throws Exception {
+        ledger = new Ledger(settings.pinLimitMs, settings.keyWindowMs, settings.mostAttempts);
+        for (int i = 0; i < READERS + WRITERS; i++) {
+            EngineStandIn engine = new EngineStandIn((i < READERS ? "r" : "w") + i, i < READERS, i % 2, ledger, settings);
+            engines.add(engine);
+            directory.list(engine);
+        }
+        ExecutorService starting = Executors.newFixedThreadPool(settings.gateways);
+        List<Future<?>> started = new ArrayList<>();
+        for (int i = 0; i < settings.gateways; i++) {
+            GatewayProcess gateway = new GatewayProcess("g" + i, folder, shim, command, directory, ledger, settings);
+            gateways.add(gateway);
+            clients.add(new LoadClients(gateway, ledger, settings, random.split()));
+            started.add(starting.submit(() -> {
+                gateway.start();
+                return null;
+            }));
+        }
+        for (Future<?> one : started) one.get();
+        starting.shutdown();
+        Daemon.start("held states", () -> {
+            while (!closed) {
+                ledger.check();
+                Thread.sleep(HELD_LOOK_MS);
+            }
+        });
+    }
+
+    /** Does something to a gateway that nothing else is being done to; the same engine or gateway is not hit twice. */
+    void withOneGateway(SplittableRandom random, Trouble.GatewayTrouble what) throws Exception {
+        GatewayProcess gateway = gateways.get(random.nextInt(gateways.size()));
+        if (!busy.add(gateway)) return;
+        try {
+            what.befall(gateway);
+        } finally {
+            busy.remove(gateway);
+        }
+    }
+
+    void withOneEngine(SplittableRandom random, EngineTrouble what) throws Exception {
+        EngineStandIn engine = engines.get(random.nextInt(engines.size()));
+        if (!busy.add(engine)) return;
+        try {
+            what.befall(engine);
+        } finally {
+            busy.remove(engine);
+        }
+    }
+
+    List<DiscoveryAgent> agents() {
+        return gateways.stream().map(GatewayProcess::agent).toList();
+    }
+
+    /** Lines of the gateways' own rule checks. */
+    long ownBreaches() throws IOException {
+        long count = 0;
+        for (GatewayProcess gateway : gateways) {
+            try (var lines = Files.lines(gateway.log())) {
+                count += lines.filter(line -> line.contains("rule broken:")).count();
+            }
+        }
+        return count;
+    }
+
+    @Override
+    public void close() throws IOException {
+        closed = true;
+        for (LoadClients client : clients) client.closeIdle();
+        for (GatewayProcess gateway : gateways) gateway.close();
+        for (EngineStandIn engine : engines) engine.close();
+    }
+}
--- /dev/null
+++ b/src/test/java/maplerail/soak/SoakSettings.java
@@ -0,0 +1,48 @@
+package maplerail.soak;
+
+import java.util.Locale;
+import java.util.SplittableRandom;
+
+/** The settings that a run's gateways are told, drawn from its seed within what the protocol page allows. */
+final class SoakSettings {
+    final int gateways;
+    final double deadlineMs;
+    final double pinLimitMs;
+    final double keyWindowMs;
+    final int mostAttempts = 6;
+    final double startCapacity = 0.25;
+    final double tipMultiple = 2.5;
+    final double warmAfterMs;
+    final double overloadForMs = 2_000;
+    /** Of a warm engine; the gateways' load together is well under it. */
+    final double engineRequestsPerS = 12;
+    private final double connIdleMs;
+
+    SoakSettings(int gateways, SplittableRandom random) {
+        this.gateways = gateways;
+        deadlineMs = 2_500 + random.nextInt(2_000);
+        pinLimitMs = random.nextInt(3) == 0 ? 250 : 500;
+        keyWindowMs = 1_500 + random.nextInt(2_500);
+        warmAfterMs = 6_000 + random.nextInt(6_000);
+        connIdleMs = 2_000 + random.nextInt(8_000);
+    }
+
+    String json() {
+        return String.format(Locale.ROOT, "{\"balancers\":%d,\"zone\":0,\"tickMs\":2.0,\"discovery\":\"push\","
+                + "\"overShareWorth\":1.0,\"familyInfo\":{\"kindRole\":[\"read\",\"write\"],"
+                + "\"kindMemoryTokens\":[200000,150000],\"pinLimitMs\":%.1f,\"tokenAimMs\":[60.0,60.0,60.0]},"
+                + "\"lanes\":[%s,%s,%s],\"limits\":{\"cancel\":true,\"connIdleMs\":%.1f,\"connectTimeoutMs\":250.0,"
+                + "\"maxOpen\":20000,\"maxRetryAfterMs\":1000.0,\"retryAfter\":true,\"secondCopies\":false,\"sendCap\":%d},"
+                + "\"localities\":[\"a\"],\"shapes\":[\"prefill\",\"decode\"],\"parties\":[],"
+                + "\"rules\":{\"answerSlackMs\":16.0,\"startCapacity\":%.2f,\"tipMultiple\":%.1f,\"overloadForMs\":%.1f,"
+                + "\"warmAfterMs\":%.1f,\"mustAskInMs\":10000.0,\"drainGraceMs\":250.0}}", gateways, pinLimitMs,
+                lane("ask", "pure"), lane("move", "token"), lane("book", "side_effect"), connIdleMs, mostAttempts,
+                startCapacity, tipMultiple, overloadForMs, warmAfterMs);
+    }
+
+    private String lane(String name, String repeat) {
+        return String.format(Locale.ROOT, "{\"name\":\"%s\",\"goalTimeMs\":1000.0,\"deadlineMs\":%.1f,\"repeat\":\"%s\","
+                + "\"keyScope\":\"all\",\"keyTtlMs\":%.1f,\"worth\":2.0,\"lateShare\":0.2,\"stream\":true}", name, deadlineMs,
+                repeat, keyWindowMs);
+    }
+}
--- a/src/test/java/maplerail/support/StandIn.java
+++ b/src/test/java/maplerail/support/StandIn.java
@@ -75,6 +75,10 @@
     }
 
     private static Exchange read(Socket socket, InputStream in, int number) throws IOException {
+        in.mark(1);
+        if (in.read() < 0) return null;
+        double firstByteMs = System.nanoTime() / 1e6;
+        in.reset();
         String first = line(in);
         if (first == null) return null;
         Map<String, String> headers = new HashMap<>();
@@ -85,7 +89,7 @@
         byte[] body = in.readNBytes(Integer.parseInt(headers.getOrDefault("content-length", "0")));
         String[] words = first.split(" ");
         return new Exchange(words[0], words[1], headers, new String(body, StandardCharsets.UTF_8), socket,
-                number);
+                number, firstByteMs);
     }
 
     private static String line(InputStream in) throws IOException {
@@ -130,15 +134,24 @@
         public final String body;
         /** Its place among the requests of its connection. */
         public final int number;
+        /** When its first byte was there, by the monotonic clock. */
+        public final double firstByteMs;
         private final Socket socket;
 
-        Exchange(String method, String target, Map<String, String> headers, String body, Socket socket, int number) {
+        Exchange(String method, String target, Map<String, String> headers, String body, Socket socket, int number,
+                double firstByteMs) {
             this.method = method;
             this.target = target;
             this.headers = headers;
             this.body = body;
             this.socket = socket;
             this.number = number;
+            this.firstByteMs = firstByteMs;
+        }
+
+        /** The far side's port. */
+        public int connection() {
+            return socket.getPort();
         }
 
         public void write(String text) throws IOException {
