Tell engines' ages by this node's monotonic time, not by a wall clock that may be stepped

Cause: Logic compared born_ms with a clock set once from the wall clock (onMembers, cold, presentCapacity; a restart only if the stamp grew). Started while the clock was ahead, a gateway took cold engines for warm ones; behind, restarted ones stayed cold for as long. EngineClock takes an engine whose start is told as a change for as old as the news, and ranks a first list by the differences of its stamps. Rendezvous hashing moves out of Logic.

--- a/src/main/java/maplerail/Logic.java
+++ b/src/main/java/maplerail/Logic.java
@@ -15,8 +15,10 @@
 import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
 import java.util.stream.Stream;
+import maplerail.policy.EngineClock;
 import maplerail.policy.ProtocolRules;
 import maplerail.policy.ProtocolRules.Reason;
+import maplerail.policy.Rendezvous;
 import maplerail.policy.RequestState;
 
 /**
@@ -94,6 +96,7 @@
 
     private final class Engine {
         final long id;
+        final double startedMs;
         Member member;
         Role role;
         boolean ready;
@@ -121,7 +124,10 @@
         /** The bucket of sends while cold. */
         double coldBucket, coldAt;
 
-        Engine(long id) { this.id = id; }
+        Engine(long id, double startedMs) {
+            this.id = id;
+            this.startedMs = startedMs;
+        }
 
         ProtocolRules.Target target() {
             return new ProtocolRules.Target(role, ready, member.zone(), member.cell());
@@ -199,6 +205,7 @@
 
     private final Settings settings;
     private final SplittableRandom random;
+    private final EngineClock engineClock;
     private final TreeMap<Long, Engine> engines = new TreeMap<>();
     private final Map<Long, Request> requests = new LinkedHashMap<>();
     private final Map<Long, ArrayDeque<CachedPrefix>> sessions = new LinkedHashMap<>();
@@ -226,6 +233,7 @@
     public Logic(Settings settings) {
         this.settings = settings;
         this.random = new SplittableRandom(settings.seed());
+        this.engineClock = new EngineClock(settings.rules());
     }
 
     @Override
@@ -251,17 +259,20 @@
             askPending = true;
             return;
         }
+        engineClock.hear(news.kind(), news.members(), now);
         List<Long> named = news.members().stream().map(Member::engine).toList();
         if (news.kind() != ListKind.CHANGES) engines.keySet().retainAll(named);
         for (Member member : news.members()) {
             Engine known = engines.get(member.engine());
             if (member.state() == State.GONE || member.kind() >= settings.kinds().size()) {
                 engines.remove(member.engine());
+                engineClock.forget(member.engine());
                 continue;
             }
             // A process that started anew holds nothing, and what was learned of it is of no use.
-            if (known == null || member.startedMs() > known.member.startedMs()) {
-                known = new Engine(member.engine());
+            double startedMs = engineClock.startedMs(member.engine());
+            if (known == null || startedMs != known.startedMs) {
+                known = new Engine(member.engine(), startedMs);
                 // Nodes that have just come up together must not all hold a send for a newcomer.
                 known.coldBucket = random.nextDouble() - (answers.isEmpty() ? 1 : 0);
                 known.coldAt = now;
@@ -453,7 +464,7 @@
         double before = Math.max(0, seen - 1);
         double count = history ? 1 : Math.ceil(HOME_SPREAD * able.size() * before / (seenOf(0) + HOME_PRIOR));
         List<Engine> homes = key == 0 ? List.of() : able.stream()
-                .sorted(Comparator.comparingLong(e -> mix(key ^ mix(e.id)))).limit((long) Math.max(1, count))
+                .sorted(Comparator.comparingLong(e -> Rendezvous.weight(key, e.id))).limit((long) Math.max(1, count))
                 .toList();
         boolean sentByOthers = seen * (settings.routers() - 1) > homes.size();
         request.homes = sentByOthers || history && settings.routers() > 1 ? homes : List.of();
@@ -475,12 +486,6 @@
         if (arrivals.size() > MAX_KEYS) arrivals.remove(arrivals.keySet().iterator().next());
     }
 
-    private static long mix(long value) {
-        long z = (value ^ value >>> 30) * 0xbf58476d1ce4e5b9L;
-        z = (z ^ z >>> 27) * 0x94d049bb133111ebL;
-        return (z ^ z >>> 31) >>> 1;
-    }
-
     private double matchedTokens(Request request, Engine engine) {
         double session = heldTokens(sessions, request.asked.session(), engine);
         double prefix = heldTokens(prefixes, request.asked.prefix(), engine);
@@ -767,8 +772,7 @@
     }
 
     private boolean cold(Engine engine) {
-        double startedMs = engine.member.startedMs();
-        return startedMs > 0 && now < startedMs + settings.rules().warmAfterMs();
+        return engineClock.cold(engine.startedMs, now);
     }
 
     /**
@@ -785,12 +789,8 @@
         return request.draw < share && engine.coldBucket >= 0;
     }
 
-    /** The share of its capacity that an engine has by its age: the rules tell the start; it grows evenly. */
     private double presentCapacity(Engine engine) {
-        if (!cold(engine)) return 1;
-        double age = Math.max(0, now - engine.member.startedMs()) / settings.rules().warmAfterMs();
-        double start = settings.rules().startCapacity();
-        return start + (1 - start) * Math.min(1, age);
+        return engineClock.presentCapacity(engine.startedMs, now);
     }
 
     /** Answers a millisecond that we got from a role lately, reads that ended well and first tokens. */
@@ -866,8 +866,7 @@
         if (outcome == Outcome.STATE_GONE) request.holder = null;
         boolean spent = request.attempts.size() >= settings.limits().maxAttempts();
         // What may have been done can be neither repeated nor taken elsewhere: no use in holding its state.
-        boolean over = now >= repeatUntilMs(request);
-        if (over) giveUp(request, EndReason.MAY_HAVE_RUN);
+        if (now >= repeatUntilMs(request)) giveUp(request, EndReason.MAY_HAVE_RUN);
         else if (spent) giveUp(request, EndReason.ATTEMPTS_SPENT);
         else if (lastMoment(request) <= now) giveUp(request, EndReason.DEADLINE);
         else if (request.holder == null) read(request, not);
@@ -1049,7 +1048,7 @@
         for (Engine engine : among) {
             double value = by.applyAsDouble(engine);
             if (best == null || value < lowest
-                    || value == lowest && mix(key ^ mix(engine.id)) < mix(key ^ mix(best.id))) {
+                    || value == lowest && Rendezvous.weight(key, engine.id) < Rendezvous.weight(key, best.id)) {
                 best = engine;
                 lowest = value;
             }
--- a/src/test/java/maplerail/EngineClockTest.java
+++ b/src/test/java/maplerail/EngineClockTest.java
@@ -80,6 +80,13 @@
         assertCold();
     }
 
+    @Test
+    void anEngineToldAsStartedIsColdThoughOurClockIsSomeSecondsAhead() {
+        startWithout();
+        node.list(ListKind.CHANGES, newcomer(node.now - 12_000));
+        assertCold();
+    }
+
     @Test
     void anEngineThatCameBackAfterItsClockWasSetBackIsColdAgain() {
         startWith(newcomer(START_MS - 2 * WARM_MS));
@@ -96,6 +103,20 @@
         assertWarm();
     }
 
+    @Test
+    void anEngineToldAsStartedIsWarmInTimeThoughOurClockIsAnHourBehind() {
+        startWithout();
+        node.list(ListKind.CHANGES, newcomer(node.now + HOUR_MS));
+        passWarmUp();
+        assertWarm();
+    }
+
+    @Test
+    void theNewestEngineOfTheFirstListIsColdThoughOurClockIsAnHourAhead() {
+        startWith(newcomer(START_MS - HOUR_MS));
+        assertCold();
+    }
+
     @Test
     void anEngineThatIsToldAgainWithTheSameStartIsNotColdAgain() {
         startWithout();
