--- a/src/main/java/maplerail/Logic.java
+++ b/src/main/java/maplerail/Logic.java
@@ -464,7 +464,7 @@
         double before = Math.max(0, seen - 1);
         double count = history ? 1 : Math.ceil(HOME_SPREAD * able.size() * before / (seenOf(0) + HOME_PRIOR));
         List<Engine> homes = key == 0 ? List.of() : able.stream()
-                .sorted(Comparator.comparingLong(e -> Rendezvous.weight(key, e.id))).limit((long) Math.max(1, count))
+                .sorted(Comparator.comparingLong(e -> weight(key, e))).limit((long) Math.max(1, count))
                 .toList();
         boolean sentByOthers = seen * (settings.routers() - 1) > homes.size();
         request.homes = sentByOthers || history && settings.routers() > 1 ? homes : List.of();
@@ -486,6 +486,10 @@
         if (arrivals.size() > MAX_KEYS) arrivals.remove(arrivals.keySet().iterator().next());
     }
 
+    private static long weight(long key, Engine engine) {
+        return Rendezvous.weight(key, engine.id);
+    }
+
     private double matchedTokens(Request request, Engine engine) {
         double session = heldTokens(sessions, request.asked.session(), engine);
         double prefix = heldTokens(prefixes, request.asked.prefix(), engine);
@@ -1043,16 +1047,6 @@
 
     /** The engine of the lowest value; equals by the key's rendezvous hash, so that nodes don't herd. */
     private static Engine least(Collection<Engine> among, ToDoubleFunction<Engine> by, long key) {
-        Engine best = null;
-        double lowest = Double.POSITIVE_INFINITY;
-        for (Engine engine : among) {
-            double value = by.applyAsDouble(engine);
-            if (best == null || value < lowest
-                    || value == lowest && Rendezvous.weight(key, engine.id) < Rendezvous.weight(key, best.id)) {
-                best = engine;
-                lowest = value;
-            }
-        }
-        return best;
+        return Rendezvous.least(among, by, engine -> engine.id, key);
     }
 }
