Show by failing tests that faults of this machine's sockets cost clients and engines

A failed accept makes the event library stop accepting for 250 ms, then 1, 4, 16 and 30 s while failures go on, though there are descriptors again (NioTcpServerHandle.startBackOff). A connect that fails with EMFILE, ENOBUFS, ENETUNREACH or EADDRNOTAVAIL ends the attempt as UNREACHABLE at once and counts as the engine's failure (Pool.connected). Reply.failed tells the kind of failure; Pool's way to connect can be replaced by tests.

--- a/src/main/java/maplerail/net/Call.java
+++ b/src/main/java/maplerail/net/Call.java
@@ -202,7 +202,7 @@
         pool.loop().execute(() -> {
             if (done) return;
             finish();
-            reply.failed(!written());
+            reply.failed(written() ? Reply.Failure.BROKEN : Reply.Failure.NEVER_SENT);
         });
     }
 
--- a/src/main/java/maplerail/net/EngineClient.java
+++ b/src/main/java/maplerail/net/EngineClient.java
@@ -114,8 +114,8 @@
         }
 
         @Override
-        public void failed(boolean neverSent) {
-            answer.ended(Outcomes.broken(meaning, neverSent), 0);
+        public void failed(Failure failure) {
+            answer.ended(Outcomes.broken(meaning, failure), 0);
         }
     }
 
@@ -175,7 +175,7 @@
         }
 
         @Override
-        public void failed(boolean neverSent) {
+        public void failed(Failure failure) {
             again(AGAIN_MS);
         }
     }
--- a/src/main/java/maplerail/net/Outcomes.java
+++ b/src/main/java/maplerail/net/Outcomes.java
@@ -27,8 +27,12 @@
     }
 
     /** What a call without a whole answer says; a head that proves that it never ran holds all the same. */
-    static Outcome broken(Outcome head, boolean neverSent) {
+    static Outcome broken(Outcome head, Reply.Failure failure) {
         if (head != null && head != Outcome.READ && head.neverRan) return head;
-        return neverSent ? Outcome.UNREACHABLE : Outcome.RESET;
+        return switch (failure) {
+            case LOCAL_FAULT -> Outcome.NOT_SENT;
+            case NEVER_SENT -> Outcome.UNREACHABLE;
+            case BROKEN -> Outcome.RESET;
+        };
     }
 }
--- a/src/main/java/maplerail/net/Pool.java
+++ b/src/main/java/maplerail/net/Pool.java
@@ -41,6 +41,12 @@
     private final Set<Link> links = new HashSet<>();
     private int connectingInAll;
     private boolean sweeping;
+    private Connector connector;
+
+    /** Opens a connection; the default is that of the loop's thread. */
+    interface Connector {
+        IoFuture<StreamConnection> connect(InetSocketAddress to);
+    }
 
     /**
      * Makes a pool of at most so many connections, and some reserved ones, which the far side closes after being idle
@@ -54,6 +60,12 @@
         this.connectMs = connectTimeoutMs;
         this.most = most;
         this.pieceMs = pieceMs;
+        this.connector = to -> loop.thread().openStreamConnection(to, null, OPTIONS);
+    }
+
+    /** Opens connections in another way from now on, as tests do that make it fail. */
+    void connectBy(Connector other) {
+        connector = other;
     }
 
     /** Starts a request; the reply hears of it after this call has returned. */
@@ -142,7 +154,7 @@
     private void connect(InetSocketAddress to, Call call) {
         connecting.merge(to, 1, Integer::sum);
         connectingInAll++;
-        IoFuture<StreamConnection> coming = loop.thread().openStreamConnection(to, null, OPTIONS);
+        IoFuture<StreamConnection> coming = connector.connect(to);
         // Called off, it is closed: one that never comes up would hold a descriptor for minutes.
         call.connecting(loop.at(loop.nowMs() + connectMs, () -> later(call)), coming::cancel);
         coming.addNotifier((future, none) -> loop.execute(() -> connected(to, call, future)), null);
--- a/src/main/java/maplerail/net/Reply.java
+++ b/src/main/java/maplerail/net/Reply.java
@@ -14,6 +14,16 @@
     /** The body came to its end as the framing has it. */
     void end();
 
-    /** No answer or no end of it; {@code neverSent} if the last byte was certainly not written. */
-    void failed(boolean neverSent);
+    /** No answer or no end of it. */
+    void failed(Failure failure);
+
+    /** Why a call has no whole answer. */
+    enum Failure {
+        /** This machine could not make a connection: it says nothing of the far side. */
+        LOCAL_FAULT,
+        /** The last byte was certainly not written: refused, never connected or broken before. */
+        NEVER_SENT,
+        /** It broke off, or ended too early, after its last byte was written. */
+        BROKEN
+    }
 }
--- a/src/main/java/maplerail/net/TextReply.java
+++ b/src/main/java/maplerail/net/TextReply.java
@@ -24,7 +24,7 @@
     public final void expire(Call call) {
         if (over) return;
         call.abort();
-        failed(false);
+        failed(Failure.BROKEN);
     }
 
     @Override
@@ -46,7 +46,7 @@
     }
 
     @Override
-    public final void failed(boolean neverSent) {
+    public final void failed(Failure failure) {
         if (over) return;
         over = true;
         none();
--- a/src/main/java/maplerail/net/ToolClient.java
+++ b/src/main/java/maplerail/net/ToolClient.java
@@ -101,8 +101,8 @@
         }
 
         @Override
-        public void failed(boolean neverSent) {
-            answer.ended(Outcomes.broken(meaning, neverSent), 0);
+        public void failed(Failure failure) {
+            answer.ended(Outcomes.broken(meaning, failure), 0);
         }
     }
 
--- a/src/test/java/maplerail/cli/JarIT.java
+++ b/src/test/java/maplerail/cli/JarIT.java
@@ -10,6 +10,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.regex.Matcher;
@@ -21,6 +22,8 @@
 
 /** Starts the packaged program by the deploy file's own lines and speaks to it over sockets. */
 class JarIT {
+    private static final int FEW_DESCRIPTORS = 100;
+
     @TempDir
     Path folder;
 
@@ -144,6 +147,34 @@
         }
     }
 
+    /** What waits in the backlog has been accepted by this machine: it must not wait for seconds once there is room. */
+    @Test
+    void aGatewayThatRanOutOfDescriptorsAcceptsAgainAsSoonAsItHasSome() throws Exception {
+        try (StandIn reader = World.reader();
+                StandIn writer = World.writer();
+                World world = new World().engine("r", "prefill", reader).engine("w", "decode", writer)) {
+            Path config = folder.resolve("config.json");
+            Files.writeString(config, world.config("127.0.0.1:0"));
+            Process gateway = start("ulimit -n " + FEW_DESCRIPTORS + "; " + line("run"), config.toString());
+            List<Socket> silent = new ArrayList<>();
+            try {
+                await("listening", () -> port() > 0);
+                int port = port();
+                await("ready", () -> say(port, "GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n").startsWith("HTTP/1.1 200"));
+                for (int i = 0; i < 2 * FEW_DESCRIPTORS; i++) silent.add(new Socket("127.0.0.1", port));
+                // The gateway ends those that say nothing, which gives it descriptors again.
+                assertThat(silent.get(0).getInputStream().read()).isNegative();
+                for (Socket socket : silent) socket.close();
+                long freeNanos = System.nanoTime();
+                assertThat(say(port, World.request("a1", "lookup", "5.0"))).contains("[DONE]");
+                assertThat(System.nanoTime() - freeNanos).as("until a client is served").isLessThan(1_000_000_000L);
+            } finally {
+                gateway.destroyForcibly();
+                for (Socket socket : silent) socket.close();
+            }
+        }
+    }
+
     @Test
     void theAdapterAnswersAnEmptyBatchAndEndsWithItsInput() throws Exception {
         Process adapter = start(line("sim"), null);
--- a/src/test/java/maplerail/net/AnswerReaderTest.java
+++ b/src/test/java/maplerail/net/AnswerReaderTest.java
@@ -28,7 +28,7 @@
         public void end() {}
 
         @Override
-        public void failed(boolean neverSent) {}
+        public void failed(Failure failure) {}
     }
 
     /** What is heard of an answer fed in pieces, and how it stands then. */
--- a/src/test/java/maplerail/net/PoolTest.java
+++ b/src/test/java/maplerail/net/PoolTest.java
@@ -7,20 +7,31 @@
 import io.undertow.server.DefaultByteBufferPool;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Methods;
+import java.io.IOException;
+import java.net.BindException;
+import java.net.ConnectException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.NoRouteToHostException;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.net.SocketTimeoutException;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Supplier;
+import java.util.stream.Stream;
 import maplerail.support.StandIn;
 import maplerail.support.World;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.xnio.FailedIoFuture;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.Xnio;
@@ -76,8 +87,12 @@
         }
 
         @Override
-        public void failed(boolean neverSent) {
-            by.add(neverSent ? "never sent" : "may have run");
+        public void failed(Failure failure) {
+            by.add(switch (failure) {
+                case LOCAL_FAULT -> "local fault";
+                case NEVER_SENT -> "never sent";
+                case BROKEN -> "may have run";
+            });
         }
     }
 
@@ -285,4 +300,53 @@
             assertThat(post(pool(30_000), at)).isEqualTo("never sent");
         }
     }
+
+    /** Fails the first so many connections as the system says it; the later ones are made. */
+    private void failFirst(Pool pool, int count, Supplier<IOException> error) {
+        AtomicInteger made = new AtomicInteger();
+        pool.connectBy(to -> made.getAndIncrement() < count ? new FailedIoFuture<>(error.get())
+                : loop.thread().openStreamConnection(to, null, OptionMap.EMPTY));
+    }
+
+    private static Stream<IOException> faultsOfThisMachine() {
+        return Stream.of(new SocketException("Too many open files"), new SocketException("No buffer space available"),
+                new SocketException("Network is unreachable"), new BindException("Cannot assign requested address"));
+    }
+
+    @ParameterizedTest
+    @MethodSource("faultsOfThisMachine")
+    void aFaultOfThisMachineThatPassesCostsNothing(IOException fault) throws Exception {
+        try (StandIn server = World.reader()) {
+            Pool pool = pool(30_000, 2_000);
+            failFirst(pool, 3, () -> fault);
+            assertThat(post(pool, server.socketAddress())).isEqualTo("end");
+            assertThat(server.count("POST")).isEqualTo(1);
+        }
+    }
+
+    @ParameterizedTest
+    @MethodSource("faultsOfThisMachine")
+    void aFaultOfThisMachineThatLastsIsNotPutDownToTheFarSide(IOException fault) throws Exception {
+        try (StandIn server = World.reader()) {
+            Pool pool = pool(30_000, 150);
+            failFirst(pool, Integer.MAX_VALUE, () -> fault);
+            assertThat(post(pool, server.socketAddress())).isEqualTo("local fault");
+            assertThat(pool.open()).isZero();
+        }
+    }
+
+    private static Stream<IOException> faultsOfTheFarSide() {
+        return Stream.of(new ConnectException("Connection refused"), new NoRouteToHostException("No route to host"),
+                new SocketException("Connection reset"));
+    }
+
+    @ParameterizedTest
+    @MethodSource("faultsOfTheFarSide")
+    void whatTheFarSideRefusesIsToldAtOnce(IOException fault) throws Exception {
+        try (StandIn server = World.reader()) {
+            Pool pool = pool(30_000, 20_000);
+            failFirst(pool, Integer.MAX_VALUE, () -> fault);
+            assertThat(post(pool, server.socketAddress())).isEqualTo("never sent");
+        }
+    }
 }
