Try connects and accepts again soon after a fault of this machine, and blame no engine for it

Cause: Pool.connected made UNREACHABLE of every failed connect, so that EMFILE, ENFILE, ENOBUFS, EADDRNOTAVAIL or ENETUNREACH spent a request's attempts and ejected sound engines. A local fault now keeps the call in its place within the time for its connection, and ends as LOCAL_FAULT (NOT_SENT to the module, which blames nobody). XNIO's pause after a failed accept grew to 30 s; AcceptBackOff cuts it to 50 ms.

--- a/src/main/java/maplerail/cli/Gateway.java
+++ b/src/main/java/maplerail/cli/Gateway.java
@@ -22,6 +22,7 @@
 import maplerail.core.Lifecycle;
 import maplerail.core.Lifecycle.Phase;
 import maplerail.discovery.PlatformWatch;
+import maplerail.front.AcceptBackOff;
 import maplerail.front.ClientListener;
 import maplerail.front.jsonrpc.RpcFront;
 import maplerail.front.platform.PlatformFront;
@@ -182,6 +183,7 @@
                 OptionMap.builder().set(Options.BACKLOG, 1_024).set(Options.TCP_NODELAY, true)
                         .set(Options.CONNECTION_HIGH_WATER, most).set(Options.CONNECTION_LOW_WATER, most - 1).getMap());
         listening.resumeAccepts();
+        loop.execute(() -> AcceptBackOff.limit(loop, listening));
         return listening;
     }
 
--- a/src/main/java/maplerail/net/Call.java
+++ b/src/main/java/maplerail/net/Call.java
@@ -29,6 +29,8 @@
     private Runnable disconnect;
     private Loop.Alarm limit;
     private boolean waited;
+    private boolean faultedHere;
+    private double connectUntilMs;
     private boolean wrote;
     private boolean paused;
     private boolean reading;
@@ -100,6 +102,17 @@
         disconnect = cancel;
     }
 
+    /** Until when its connection has to come up: as told, but a further try does not put it off. */
+    double connectUntilMs(double atMost) {
+        if (!faultedHere) connectUntilMs = atMost;
+        return connectUntilMs;
+    }
+
+    /** A fault of this machine kept it from connecting; it is to be tried again. */
+    void faultedHere() {
+        faultedHere = true;
+    }
+
     boolean done() {
         return done;
     }
@@ -202,10 +215,15 @@
         pool.loop().execute(() -> {
             if (done) return;
             finish();
-            reply.failed(written() ? Reply.Failure.BROKEN : Reply.Failure.NEVER_SENT);
+            reply.failed(failure());
         });
     }
 
+    private Reply.Failure failure() {
+        if (written()) return Reply.Failure.BROKEN;
+        return faultedHere && bytes == null ? Reply.Failure.LOCAL_FAULT : Reply.Failure.NEVER_SENT;
+    }
+
     /** True once the last byte has been written. */
     private boolean written() {
         return bytes != null && !bytes.hasRemaining();
--- a/src/main/java/maplerail/net/Pool.java
+++ b/src/main/java/maplerail/net/Pool.java
@@ -15,6 +15,8 @@
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.xnio.IoFuture;
 import org.xnio.OptionMap;
 import org.xnio.Options;
@@ -22,11 +24,14 @@
 
 /** Connections to engines and other servers, kept while they are fresh. Nothing here sends anything twice. */
 public final class Pool {
+    private static final Logger LOG = LoggerFactory.getLogger(Pool.class);
     private static final double RETIRE_SHARE = 0.5; // of the time after which the far side closes
     private static final double SETTLE_MS = 30; // after an answer, in which what else belongs to it would come
     private static final int MAX_CONNECTING = 24; // to one address: one that never answers must not take all
     private static final int RESERVED = 8; // connections over the limit, for calls that carry no client's request
     private static final double SWEEP_MS = 1_000;
+    private static final double FAULT_PAUSE_MS = 20; // between two tries while this machine cannot connect
+    private static final double FAULT_LOG_MS = 1_000;
     private static final OptionMap OPTIONS = OptionMap.builder().set(Options.TCP_NODELAY, true).getMap();
 
     private final XnioLoop loop;
@@ -41,6 +46,8 @@
     private final Set<Link> links = new HashSet<>();
     private int connectingInAll;
     private boolean sweeping;
+    private double faultPauseUntilMs = Double.NEGATIVE_INFINITY;
+    private double faultToldMs = Double.NEGATIVE_INFINITY;
     private Connector connector;
 
     /** Opens a connection; the default is that of the loop's thread. */
@@ -89,7 +96,8 @@
             // Guards against a release that waits behind a crowd of reads until what it lets go counts as pinned.
             if (call.urgent()) waiting.addFirst(call);
             else waiting.addLast(call);
-            call.connecting(loop.at(loop.nowMs() + connectMs, () -> later(call)), () -> {});
+            call.connecting(loop.at(call.connectUntilMs(loop.nowMs() + connectMs), () -> later(call)), () -> {});
+            if (faultPause()) call.faultedHere();
         }
         return call;
     }
@@ -98,7 +106,7 @@
         Link ready = fresh(to);
         if (ready != null) {
             call.on(ready);
-        } else if (connecting.getOrDefault(to, 0) >= MAX_CONNECTING || !room(call)) {
+        } else if (faultPause() || connecting.getOrDefault(to, 0) >= MAX_CONNECTING || !room(call)) {
             return false;
         } else {
             connect(to, call);
@@ -156,7 +164,7 @@
         connectingInAll++;
         IoFuture<StreamConnection> coming = connector.connect(to);
         // Called off, it is closed: one that never comes up would hold a descriptor for minutes.
-        call.connecting(loop.at(loop.nowMs() + connectMs, () -> later(call)), coming::cancel);
+        call.connecting(loop.at(call.connectUntilMs(loop.nowMs() + connectMs), () -> later(call)), coming::cancel);
         coming.addNotifier((future, none) -> loop.execute(() -> connected(to, call, future)), null);
     }
 
@@ -166,8 +174,13 @@
         StreamConnection connection;
         try {
             connection = future.get();
-        } catch (IOException | RuntimeException e) {
-            call.fail(); // refused, or called off: then it is done already
+        } catch (IOException e) {
+            if (ConnectFault.isLocal(e) && !call.done()) connectAgain(to, call, e);
+            else call.fail(); // refused
+            next(to);
+            return;
+        } catch (RuntimeException e) {
+            call.fail(); // called off: then it is done already
             next(to);
             return;
         }
@@ -175,13 +188,40 @@
         links.add(link);
         connection.getCloseSetter().set(closed -> {
             links.remove(link);
-            if (!queued.isEmpty()) loop.execute(() -> List.copyOf(queued.keySet()).forEach(this::next));
+            if (!queued.isEmpty()) loop.execute(this::nextEverywhere);
         });
         if (call.done()) keep(link);
         else call.on(link);
         next(to);
     }
 
+    /**
+     * Keeps a call in its place after a fault of this machine, within the time that it has for its connection. Guards
+     * against requests that use up their attempts, and sound engines that are ejected, while the system is short of
+     * something for a moment.
+     */
+    private void connectAgain(InetSocketAddress to, Call call, IOException fault) {
+        double now = loop.nowMs();
+        if (now - faultToldMs >= FAULT_LOG_MS) {
+            faultToldMs = now;
+            LOG.warn("cannot connect to {}: {}", to, fault.getMessage());
+        }
+        call.faultedHere();
+        queued.computeIfAbsent(to, t -> new ArrayDeque<>()).addFirst(call);
+        if (!faultPause()) loop.at(now + FAULT_PAUSE_MS, this::nextEverywhere);
+        faultPauseUntilMs = now + FAULT_PAUSE_MS;
+    }
+
+    /** True while no connect is tried, as the last one failed here. */
+    private boolean faultPause() {
+        return loop.nowMs() < faultPauseUntilMs;
+    }
+
+    private void nextEverywhere() {
+        if (faultPause()) loop.at(faultPauseUntilMs, this::nextEverywhere);
+        else List.copyOf(queued.keySet()).forEach(this::next);
+    }
+
     void keep(Link link) {
         link.idle(loop.nowMs());
         idle.computeIfAbsent(link.to, t -> new ArrayDeque<>()).addLast(link);
@@ -200,7 +240,7 @@
             });
         }
         idle.values().removeIf(ArrayDeque::isEmpty);
-        List.copyOf(queued.keySet()).forEach(this::next);
+        nextEverywhere();
         sweeping = !idle.isEmpty();
         if (sweeping) loop.at(loop.nowMs() + SWEEP_MS, this::sweep);
     }
