Show by a failing test that a configuration that cannot be read at SIGHUP is dropped for good

Main.reload reads the file once; a read that fails, or meets a file half written, leaves the gateway at the old address of discovery, which soon closes: it obeys no drain any more, and nobody sends the signal again.

--- a/src/test/java/maplerail/cli/JarIT.java
+++ b/src/test/java/maplerail/cli/JarIT.java
@@ -147,6 +147,30 @@
         }
     }
 
+    /** A read that fails or is half done for a moment must not leave a gateway at a discovery that is gone. */
+    @Test
+    void aConfigurationThatCannotBeReadAtTheSignalIsReadAgain() throws Exception {
+        try (StandIn reader = World.reader();
+                StandIn writer = World.writer();
+                World world = new World().engine("r", "prefill", reader).engine("w", "decode", writer);
+                World next = new World().engine("r", "prefill", reader).engine("w", "decode", writer)) {
+            Path config = folder.resolve("config.json");
+            Files.writeString(config, world.config("127.0.0.1:0"));
+            Process gateway = start(line("run"), config.toString());
+            try {
+                await("listening", () -> port() > 0);
+                Files.writeString(config, next.config("127.0.0.1:0").substring(0, 100));
+                assertThat(new ProcessBuilder("kill", "-HUP", "" + gateway.pid()).start().waitFor()).isZero();
+                await("noticed", () -> log().contains("the new configuration is not used"));
+                Files.writeString(config, next.config("127.0.0.1:0"));
+                await("moved", () -> log().contains("discovery is at"));
+                await("asked", () -> next.discovery().count("GET /api/targets") > 0);
+            } finally {
+                gateway.destroyForcibly();
+            }
+        }
+    }
+
     /** What waits in the backlog has been accepted by this machine: it must not wait for seconds once there is room. */
     @Test
     void aGatewayThatRanOutOfDescriptorsAcceptsAgainAsSoonAsItHasSome() throws Exception {
