Read a configuration again for 3.5 s if it cannot be read at the signal

Cause: Main.reload read the file once per SIGHUP. ConfigurationReloader tries again every 100 ms, says why once, gives way to a later signal and leaves the running configuration as it is until then. Both files have one each, so that one that is wrong does not hold up the other.

--- a/src/main/java/maplerail/cli/Gateway.java
+++ b/src/main/java/maplerail/cli/Gateway.java
@@ -201,13 +201,19 @@
 
     /**
      * Takes what may change while it runs from a new configuration: where discovery is, and Consul. Open requests
-     * and all that was learnt stay. Either may be null for no news.
+     * and all that was learnt stay.
      */
-    public void reload(NodeConfig news, ToolsConfig toolsNews) {
+    public void reload(NodeConfig news) {
         loop.execute(() -> {
-            if (news != null) watch.move(news.discovery());
-            if (toolsNews != null && tools != null) tools.reload(toolsNews);
-            if (news != null) LOG.info("configuration read again: discovery is at {}", news.discovery());
+            watch.move(news.discovery());
+            LOG.info("configuration read again: discovery is at {}", news.discovery());
+        });
+    }
+
+    /** Takes what may change of the second front. */
+    public void reloadTools(ToolsConfig news) {
+        loop.execute(() -> {
+            if (tools != null) tools.reload(news);
         });
     }
 
--- a/src/main/java/maplerail/cli/Main.java
+++ b/src/main/java/maplerail/cli/Main.java
@@ -9,10 +9,11 @@
 import java.io.PrintStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
-import java.util.function.Supplier;
 import maplerail.config.ConfigException;
 import maplerail.config.NodeConfig;
 import maplerail.config.ToolsConfig;
@@ -21,12 +22,9 @@
 import org.apache.commons.cli.DefaultParser;
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /** The command line. */
 public final class Main {
-    private static final Logger LOG = LoggerFactory.getLogger(Main.class);
     private static final int BUFFER = 1 << 16;
     private static final String USAGE = """
             usage: maplerail COMMAND [--config FILE] [--tools FILE]
@@ -114,7 +112,7 @@
             return 0;
         }
         Gateway gateway = new Gateway(config, tools);
-        SighupHandler.then(() -> reload(gateway, file, toolsFile, environment));
+        reloadAtSignals(gateway, file, toolsFile, environment);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             gateway.drain();
             try {
@@ -127,23 +125,18 @@
         return -1;
     }
 
-    /** Reads both files again; one that can't be read is named with its key, and what was read before it stays. */
-    static synchronized void reload(Gateway gateway, String file, String toolsFile,
+    /** Reads both files again at each signal, each on its own: what is wrong with one does not hold up the other. */
+    private static void reloadAtSignals(Gateway gateway, String file, String toolsFile,
             Map<String, String> environment) {
         // The environment is as old as the process: after a new file it no longer comes first.
         Map<String, String> left = new HashMap<>(environment);
         left.remove("RELAY_DISCOVERY");
-        gateway.reload(again(() -> NodeConfig.read(read(file), left)),
-                toolsFile == null ? null : again(() -> ToolsConfig.read(read(toolsFile))));
-    }
-
-    private static <T> T again(Supplier<T> reading) {
-        try {
-            return reading.get();
-        } catch (RuntimeException e) {
-            LOG.warn("the new configuration is not used: {}", e.getMessage());
-            return null;
+        List<ConfigurationReloader<?>> reloaders = new ArrayList<>();
+        reloaders.add(new ConfigurationReloader<>(() -> NodeConfig.read(read(file), left), gateway::reload));
+        if (toolsFile != null) {
+            reloaders.add(new ConfigurationReloader<>(() -> ToolsConfig.read(read(toolsFile)), gateway::reloadTools));
         }
+        SighupHandler.then(() -> reloaders.forEach(ConfigurationReloader::start));
     }
 
     private static String read(String file) {
--- a/src/test/java/maplerail/discovery/PlatformWatchTest.java
+++ b/src/test/java/maplerail/discovery/PlatformWatchTest.java
@@ -176,7 +176,7 @@
                 World moved = new World().discoveredBy(agent)) {
             world.start();
             await("the first list heard", () -> world.discovery().count("GET /api/targets?index=") > 0);
-            world.gateway.reload(NodeConfig.read(moved.config("127.0.0.1:0"), Map.of()), null);
+            world.gateway.reload(NodeConfig.read(moved.config("127.0.0.1:0"), Map.of()));
             await("asked again", () -> asked.get() > 4);
             assertThat(world.exchange(request("a1", "lookup", "5.0"))).startsWith("HTTP/1.1 200");
             assertThat(writer.count("POST")).isZero();
