--- a/src/main/java/maplerail/core/AttemptRunner.java
+++ b/src/main/java/maplerail/core/AttemptRunner.java
@@ -11,6 +11,11 @@
 
 /** Fourth stage: makes the attempts that the module asks for, ends them, and tells how each one ended. */
 final class AttemptRunner {
+    /** Sends of what must not take effect twice, after one that did not. */
+    private enum Repeated {
+        AFTER_PROOF_OF_NO_EFFECT
+    }
+
     private static final double STALL_MS = 3_000; // without an event, after which a stream has stopped
     /** That an attempt is left open after its request's answer while the reader of its state is out of reach. */
     private static final double LINGER_MS = 8_000;
@@ -24,12 +29,14 @@
     private final Router.Settings settings;
     private final RuleMonitor monitor;
     private final ServiceCounters counters;
+    private final Consumer<String> log;
     private final Set<ActiveRequest> touched = new LinkedHashSet<>();
     private Route route;
     private Consumer<ActiveRequest> gone;
 
     AttemptRunner(Engines engines, Loop loop, Fleet fleet, RequestRegistry registry, Relay relay,
-            Router.Settings settings, RuleMonitor monitor, ServiceCounters counters) {
+            Router.Settings settings, RuleMonitor monitor, ServiceCounters counters,
+            Consumer<String> log) {
         this.engines = engines;
         this.loop = loop;
         this.fleet = fleet;
@@ -38,6 +45,7 @@
         this.settings = settings;
         this.monitor = monitor;
         this.counters = counters;
+        this.log = log;
     }
 
     /** Where attempts' ends are told, and who hears of a caller that is found to have left. */
@@ -60,6 +68,7 @@
             ended(attempt, Outcome.NOT_SENT, 0);
             return;
         }
+        tellRepeat(attempt);
         attempt.timeout = loop.at(until, () -> cut(attempt, Outcome.TIMEOUT));
         attempt.sending = engines.send(order.engine(), active.request, until, () -> mayBegin(attempt),
                 new Engines.Answer() {
@@ -81,6 +90,20 @@
         if (order.startByMs() < until) loop.at(order.startByMs(), () -> withdraw(attempt));
     }
 
+    /** Tells what proves that an effect which must not come twice may be tried again. */
+    private void tellRepeat(ActiveRequest.Attempt attempt) {
+        if (attempt.reader) return;
+        ActiveRequest active = attempt.active;
+        int kind = active.request.kind();
+        if (kind >= settings.classes().size() || settings.classes().get(kind).repeat() != Router.Repeat.UNSAFE) return;
+        for (ActiveRequest.Attempt earlier : active.attempts) {
+            if (earlier == attempt || earlier.reader) continue;
+            counters.count(Repeated.AFTER_PROOF_OF_NO_EFFECT);
+            log.accept("repeat of " + active.request.id() + ": write " + Long.toHexString(earlier.engine) + " ended "
+                    + earlier.outcome + (earlier.sending == null ? "" : ", " + earlier.sending.trace()));
+        }
+    }
+
     /** Whether an attempt may go out now, by what has really happened; looks whether its client is still there. */
     private Reason verdict(ActiveRequest active, long engine) {
         if (!active.answered && active.caller.hasLeft()) gone.accept(active);
--- a/src/main/java/maplerail/core/Broker.java
+++ b/src/main/java/maplerail/core/Broker.java
@@ -43,7 +43,7 @@
         admission = new Admission(loop, registry);
         failureLog = new FailureLog(loop, log);
         relay = new Relay(registry, loop, failureLog, counters);
-        runner = new AttemptRunner(engines, loop, fleet, registry, relay, settings, monitor, counters);
+        runner = new AttemptRunner(engines, loop, fleet, registry, relay, settings, monitor, counters, log);
         route = new Route(router, loop, this::perform, runner::settle, log);
         runner.use(route, this::gone);
     }
--- a/src/main/java/maplerail/core/Engines.java
+++ b/src/main/java/maplerail/core/Engines.java
@@ -16,9 +16,19 @@
 
     /** An attempt on its way. */
     interface Sending {
+        /** How far it has come, for the log. */
+        default String trace() {
+            return "";
+        }
+
         /** True while not a byte of it has gone out. */
         boolean unsent();
 
+        /** True if its connection has just come up or has been heard since it was written: it has surely arrived. */
+        default boolean provenAlive() {
+            return true;
+        }
+
         /** Gives it up: nothing is heard of it any more. */
         void abort();
 
--- a/src/main/java/maplerail/net/AnswerReader.java
+++ b/src/main/java/maplerail/net/AnswerReader.java
@@ -57,6 +57,11 @@
         }
     }
 
+    /** The status of its head; 0 before that has come. */
+    int status() {
+        return status;
+    }
+
     /** True once the answer is whole. */
     boolean done() {
         return at == At.DONE;
--- a/src/main/java/maplerail/net/Call.java
+++ b/src/main/java/maplerail/net/Call.java
@@ -29,6 +29,7 @@
     private Runnable disconnect;
     private Loop.Alarm limit;
     private boolean waited;
+    private boolean reused;
     private boolean faultedHere;
     private double connectUntilMs;
     private boolean wrote;
@@ -67,6 +68,17 @@
         return ByteBuffer.allocate(first.length + body.length).put(first).put(body).flip();
     }
 
+    /** True if it was written on a new connection, or something has come back since. */
+    public boolean provenAlive() {
+        return !reused || reader.status() != 0 || reader.within();
+    }
+
+    /** How far it has come, for the log: what was written, on which connection, and what has come back. */
+    public String trace() {
+        String written = bytes == null ? "not written" : "written " + bytes.position() + " of " + bytes.limit();
+        return written + (reused ? " on a kept connection" : " on a new connection") + ", status " + reader.status();
+    }
+
     /** True while nothing has been written. */
     public boolean unsent() {
         return !wrote && !done;
@@ -126,6 +138,7 @@
             return;
         }
         link = to;
+        reused = to.idleSinceMs > 0;
         bytes = bytes(request.get(), body);
         link.connection.getSourceChannel().setReadListener(c -> read());
         link.connection.getSinkChannel().setWriteListener(c -> write());
--- a/src/main/java/maplerail/net/CallSending.java
+++ b/src/main/java/maplerail/net/CallSending.java
@@ -4,6 +4,16 @@
 
 /** A {@link Call} as the core sees it. */
 record CallSending(Call call) implements Engines.Sending {
+    @Override
+    public String trace() {
+        return call.trace();
+    }
+
+    @Override
+    public boolean provenAlive() {
+        return call.provenAlive();
+    }
+
     @Override
     public boolean unsent() {
         return call.unsent();
--- a/src/main/java/maplerail/net/Pool.java
+++ b/src/main/java/maplerail/net/Pool.java
@@ -122,8 +122,13 @@
         ArrayDeque<Call> waiting = queued.get(to);
         if (waiting == null) return;
         waiting.removeIf(Call::done);
-        while (!waiting.isEmpty() && begin(to, waiting.peekFirst())) waiting.pollFirst();
-        if (waiting.isEmpty()) queued.remove(to);
+        // Taken out first: what begins may end other calls, whose releases then come to the front of this queue.
+        for (Call first = waiting.pollFirst(); first != null; first = waiting.pollFirst()) {
+            if (begin(to, first)) continue;
+            waiting.addFirst(first);
+            return;
+        }
+        queued.remove(to, waiting);
     }
 
     /** Guards against a loop that is behind: what has come up by now is seen first. */
--- a/src/test/java/maplerail/soak/FaultProxy.java
+++ b/src/test/java/maplerail/soak/FaultProxy.java
@@ -24,6 +24,7 @@
 
     private static final int BUFFER = 16 * 1024;
     private static final int HOLD_STEP_MS = 5;
+    private static final double DELAY_SEEN_MS = 500; // after a hold, for what had waited behind it
 
     private final ServerSocket server;
     private final Listener listener;
@@ -144,6 +145,11 @@
         holdUntilMs = Ledger.nowMs() + forMs;
     }
 
+    /** True while, or shortly after, bytes wait here. */
+    boolean delays() {
+        return Ledger.nowMs() < holdUntilMs + DELAY_SEEN_MS;
+    }
+
     /** Resets all open connections. */
     void reset() throws IOException {
         for (Pipe pipe : Set.copyOf(pipes)) {
--- /dev/null
+++ b/src/test/java/maplerail/support/ManualLoop.java
@@ -0,0 +1,39 @@
+package maplerail.support;
+
+import java.util.PriorityQueue;
+import maplerail.core.Loop;
+
+/** A loop whose clock the test moves. */
+public final class ManualLoop implements Loop {
+    public double now = 1_000;
+    private final PriorityQueue<Due> due = new PriorityQueue<>((a, b) -> Double.compare(a.at, b.at));
+
+    private record Due(double at, Runnable task) {}
+
+    @Override
+    public double nowMs() {
+        return now;
+    }
+
+    @Override
+    public Alarm at(double whenMs, Runnable task) {
+        Due one = new Due(whenMs, task);
+        due.add(one);
+        return () -> due.remove(one);
+    }
+
+    @Override
+    public Alarm afterInput(Runnable task) {
+        return at(now, task);
+    }
+
+    /** Moves the clock, running the tasks that come due on the way. */
+    public void until(double time) {
+        while (!due.isEmpty() && due.peek().at <= time) {
+            Due one = due.poll();
+            now = Math.max(now, one.at);
+            one.task.run();
+        }
+        now = time;
+    }
+}
