Let a state go in time whose write is not heard on a kept connection

Cause: a write on a connection that has fallen silent has not arrived, but counted as out in AttemptRunner, so that its state stayed held until the deadline (unsafe writes are never called off). A release that was not answered is tried again on a new connection. The soak's cut now keeps new connections from coming up, and its ledger orders news by version.

--- a/src/main/java/maplerail/cli/Gateway.java
+++ b/src/main/java/maplerail/cli/Gateway.java
@@ -138,6 +138,18 @@
         server = listen(config.listen(), front, CLIENT_PERCENT, front::at);
         if (rpc != null) rpcServer = listen(rpcListen, rpc, RPC_PERCENT, rpc::at);
         LOG.info("{} listens on {}", config.name(), address());
+        tellSettings();
+    }
+
+    /** The figures by which the rules bind, as an operator needs them beside a line of a request that ended badly. */
+    private void tellSettings() {
+        Router.Settings settings = config.settings();
+        for (int i = 0; i < settings.classes().size(); i++) {
+            Router.RequestClass requestClass = settings.classes().get(i);
+            LOG.info("kind {} {}: repeat {} scope {} window {} ms, deadline {} ms", i, config.names().classes().get(i),
+                    requestClass.repeat(), requestClass.scope(), requestClass.keyTtlMs(), requestClass.deadlineMs());
+        }
+        LOG.info("rules: {}; limits: {}", settings.rules(), settings.limits());
     }
 
     /**
--- a/src/main/java/maplerail/core/AttemptRunner.java
+++ b/src/main/java/maplerail/core/AttemptRunner.java
@@ -6,11 +6,17 @@
 import java.util.function.Consumer;
 import maplerail.Router;
 import maplerail.Router.Outcome;
+import maplerail.policy.LostSendRule;
 import maplerail.policy.ProtocolRules;
 import maplerail.policy.ProtocolRules.Reason;
 
 /** Fourth stage: makes the attempts that the module asks for, ends them, and tells how each one ended. */
 final class AttemptRunner {
+    /** Why a state was let go while an attempt for it was out. */
+    private enum Released {
+        WRITE_HELD_FOR_LOST
+    }
+
     /** Sends of what must not take effect twice, after one that did not. */
     private enum Repeated {
         AFTER_PROOF_OF_NO_EFFECT
@@ -27,6 +33,7 @@
     private final RequestRegistry registry;
     private final Relay relay;
     private final Router.Settings settings;
+    private final LostSendRule lostSends;
     private final RuleMonitor monitor;
     private final ServiceCounters counters;
     private final Consumer<String> log;
@@ -43,6 +50,7 @@
         this.registry = registry;
         this.relay = relay;
         this.settings = settings;
+        this.lostSends = new LostSendRule(settings.rules().pinLimitMs());
         this.monitor = monitor;
         this.counters = counters;
         this.log = log;
@@ -87,9 +95,29 @@
                         AttemptRunner.this.ended(attempt, outcome, kept);
                     }
                 });
+        watchForLoss(attempt);
         if (order.startByMs() < until) loop.at(order.startByMs(), () -> withdraw(attempt));
     }
 
+    /** Guards against a write that was lost on a silent connection while the state for it stays held at its reader. */
+    private void watchForLoss(ActiveRequest.Attempt attempt) {
+        ActiveRequest active = attempt.active;
+        if (attempt.reader || active.holds.isEmpty()) return;
+        double heldSinceMs = active.attempts.stream().filter(earlier -> earlier.outcome == Outcome.READ)
+                .mapToDouble(earlier -> earlier.endedMs).max().orElse(loop.nowMs());
+        double lostAtMs = lostSends.lostAtMs(attempt.sentMs, heldSinceMs);
+        if (lostAtMs == Double.POSITIVE_INFINITY) return;
+        loop.at(lostAtMs, () -> {
+            boolean heard = attempt.ended || attempt.heardMs > 0 || attempt.sending.provenAlive();
+            if (heard || active.holds.isEmpty()) return;
+            counters.count(Released.WRITE_HELD_FOR_LOST);
+            log.accept("state of " + active.request.id() + " let go: its write at " + Long.toHexString(attempt.engine)
+                    + " not heard for " + Math.round(loop.nowMs() - attempt.sentMs) + " ms, "
+                    + attempt.sending.trace());
+            registry.releaseHeld(active);
+        });
+    }
+
     /** Tells what proves that an effect which must not come twice may be tried again. */
     private void tellRepeat(ActiveRequest.Attempt attempt) {
         if (attempt.reader) return;
@@ -142,6 +170,7 @@
 
     private void heard(ActiveRequest.Attempt attempt, byte[] event) {
         ActiveRequest active = attempt.active;
+        if (attempt.heardMs == 0) lostSends.answered(loop.nowMs() - attempt.sentMs);
         attempt.heardMs = loop.nowMs();
         if (active.winner == null && !active.answered) {
             active.winner = attempt;
--- a/src/main/java/maplerail/core/RequestRegistry.java
+++ b/src/main/java/maplerail/core/RequestRegistry.java
@@ -83,6 +83,11 @@
         }
     }
 
+    /** Lets go of what readers said that they hold, though an attempt is out that may wait for it. */
+    void releaseHeld(ActiveRequest active) {
+        for (long engine : List.copyOf(active.holds)) releaseAt(active, engine);
+    }
+
     private void releaseAt(ActiveRequest active, long engine) {
         checkHeld(active, engine);
         active.mayHold.remove(engine);
--- a/src/main/java/maplerail/net/Call.java
+++ b/src/main/java/maplerail/net/Call.java
@@ -28,6 +28,7 @@
     private Link link;
     private Runnable disconnect;
     private Loop.Alarm limit;
+    private boolean needsNewConnection;
     private boolean waited;
     private boolean reused;
     private boolean faultedHere;
@@ -125,6 +126,15 @@
         faultedHere = true;
     }
 
+    /** No kept connection is to be used for it. */
+    void needsNewConnection() {
+        needsNewConnection = true;
+    }
+
+    boolean wantsNewConnection() {
+        return needsNewConnection;
+    }
+
     boolean done() {
         return done;
     }
--- a/src/main/java/maplerail/net/EngineClient.java
+++ b/src/main/java/maplerail/net/EngineClient.java
@@ -133,6 +133,7 @@
         private final Runnable answered;
         private Call call;
         private Loop.Alarm silence;
+        private boolean tried;
 
         Release(InetSocketAddress to, String target, double untilMs, Runnable answered) {
             this.to = to;
@@ -142,7 +143,11 @@
         }
 
         void attempt() {
-            call = pool.start(to, Requests.to(to, Methods.DELETE, target), new byte[0], this);
+            ClientRequest request = Requests.to(to, Methods.DELETE, target);
+            // What was not answered may have been lost on a connection that fell silent, as others to the engine may be.
+            call = tried ? pool.startOnNewConnection(to, request, new byte[0], this)
+                    : pool.start(to, request, new byte[0], this);
+            tried = true;
             silence = loop.at(loop.nowMs() + SILENT_MS, this::silent);
         }
 
--- a/src/main/java/maplerail/net/Pool.java
+++ b/src/main/java/maplerail/net/Pool.java
@@ -81,6 +81,13 @@
         return start(to, new Call(this, () -> request, body, () -> true, reply, urgent));
     }
 
+    /** The same on a connection of its own, where kept ones may have fallen silent. */
+    Call startOnNewConnection(InetSocketAddress to, ClientRequest request, byte[] body, Reply reply) {
+        Call call = new Call(this, () -> request, body, () -> true, reply, true);
+        call.needsNewConnection();
+        return start(to, call);
+    }
+
     /**
      * Starts a request whose head is made only once there is a connection for it. If it has to wait for one, it asks
      * before its first byte whether it may still begin; who says no gives the call up.
@@ -103,7 +110,7 @@
     }
 
     private boolean begin(InetSocketAddress to, Call call) {
-        Link ready = fresh(to);
+        Link ready = call.wantsNewConnection() ? null : fresh(to);
         if (ready != null) {
             call.on(ready);
         } else if (faultPause() || connecting.getOrDefault(to, 0) >= MAX_CONNECTING || !room(call)) {
@@ -124,7 +131,7 @@
         waiting.removeIf(Call::done);
         // Taken out first: what begins may end other calls, whose releases then come to the front of this queue.
         for (Call first = waiting.pollFirst(); first != null; first = waiting.pollFirst()) {
-            if (begin(to, first)) continue;
+            if (first.done() || begin(to, first)) continue;
             waiting.addFirst(first);
             return;
         }
--- a/src/test/java/maplerail/soak/DiscoveryAgent.java
+++ b/src/test/java/maplerail/soak/DiscoveryAgent.java
@@ -68,7 +68,7 @@
         List<Map.Entry<String, Directory.Entry>> told = new ArrayList<>();
         exchange.reply(200, directory.since(known, told::add));
         // Counted from after the write, as the gateway cannot know earlier.
-        told.forEach(entry -> ledger.told(gateway, entry.getKey(), entry.getValue().inService()));
+        told.forEach(entry -> ledger.told(gateway, entry.getKey(), entry.getValue()));
     }
 
     @Override
--- a/src/test/java/maplerail/soak/FaultProxy.java
+++ b/src/test/java/maplerail/soak/FaultProxy.java
@@ -5,6 +5,9 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.channels.SocketChannel;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
@@ -22,22 +25,27 @@
         void silenced(int connection);
     }
 
+    private static final int BACKLOG = 16;
+    private static final int FILLERS = 2 * BACKLOG + 4; // enough to fill the backlog, whatever the system rounds it to
     private static final int BUFFER = 16 * 1024;
     private static final int HOLD_STEP_MS = 5;
+    private static final double RESET_AFTER_CUT_MS = 100;
     private static final double DELAY_SEEN_MS = 500; // after a hold, for what had waited behind it
 
     private final ServerSocket server;
     private final Listener listener;
     private final Set<Pipe> pipes = ConcurrentHashMap.newKeySet();
+    private final List<SocketChannel> fillers = new ArrayList<>();
     private volatile InetSocketAddress target;
     private volatile boolean silent;
     private volatile boolean refusing;
+    private volatile double backSinceMs = Double.NEGATIVE_INFINITY;
     private volatile double holdUntilMs;
 
     FaultProxy(InetSocketAddress target, Listener listener) throws IOException {
         this.target = target;
         this.listener = listener;
-        server = new ServerSocket(0, 200, InetAddress.getByName("127.0.0.1"));
+        server = new ServerSocket(0, BACKLOG, InetAddress.getByName("127.0.0.1"));
         Daemon.start("proxy", this::accept);
     }
 
@@ -86,8 +94,10 @@
 
     private void accept() throws Exception {
         while (true) {
+            while (silent) Thread.sleep(HOLD_STEP_MS);
             Socket gateway = server.accept();
-            if (refusing) {
+            // What came into the backlog while it filled is reset once the engine is back, as machines do.
+            if (refusing || silent || Ledger.nowMs() < backSinceMs + RESET_AFTER_CUT_MS) {
                 gateway.setSoLinger(true, 0);
                 gateway.close();
                 continue;
@@ -109,7 +119,6 @@
         }
         Pipe pipe = new Pipe(gateway, engine);
         pipes.add(pipe);
-        if (silent) pipe.silence();
         Daemon.start("pump", () -> pipe.pump(engine, gateway, false));
         pipe.pump(gateway, engine, true);
     }
@@ -128,11 +137,28 @@
         pipes.forEach(Pipe::silence);
     }
 
-    /** All connections are silent, also new ones, until told otherwise; those that were stay so. */
-    void cut(boolean off) {
+    /** Open connections fall silent and new ones do not come up, until told otherwise. */
+    void cut(boolean off) throws IOException {
+        if (!off) backSinceMs = Ledger.nowMs();
         silent = off;
-        if (off) silenceOpenConnections();
-        else pipes.stream().filter(pipe -> pipe.silenced).forEach(Pipe::end);
+        if (off) {
+            silenceOpenConnections();
+            fillBacklog();
+            return;
+        }
+        for (SocketChannel filler : fillers) filler.close();
+        fillers.clear();
+        pipes.stream().filter(pipe -> pipe.silenced).forEach(Pipe::end);
+    }
+
+    /** With a full backlog the system drops what would open a connection, as a machine does that is cut off. */
+    private void fillBacklog() throws IOException {
+        for (int i = 0; i < FILLERS; i++) {
+            SocketChannel filler = SocketChannel.open();
+            filler.configureBlocking(false);
+            filler.connect(address());
+            fillers.add(filler);
+        }
     }
 
     /** New connections are reset at once. */
--- a/src/test/java/maplerail/soak/GatewayProcess.java
+++ b/src/test/java/maplerail/soak/GatewayProcess.java
@@ -33,6 +33,7 @@
     private volatile Process process;
     private volatile boolean up;
     private volatile boolean ending;
+    private volatile Process toldToEnd;
     private volatile double readyMs = Double.NaN;
     private volatile double readFaultsMs = Double.NEGATIVE_INFINITY;
 
@@ -79,7 +80,7 @@
         double beforeMs = Ledger.nowMs() - COUNTS_AS_TOLD_MS;
         if (sinceMs > beforeMs) return;
         directory.entries().forEach((engine, entry) -> {
-            if (entry.changedMs() < beforeMs) ledger.told(name, engine, entry.inService());
+            if (entry.changedMs() < beforeMs) ledger.told(name, engine, entry);
         });
     }
 
@@ -122,7 +123,8 @@
     }
 
     private void exited(Process ended) {
-        if (ended != process) return;
+        // An end that was asked for may be told of only after the next start.
+        if (ended != process || ended.equals(toldToEnd)) return;
         up = false;
         if (!ending) ledger.breach(Ledger.Rule.CRASH, null, name + " ended by itself with " + ended.exitValue());
     }
@@ -144,12 +146,13 @@
 
     private void learnList() {
         known = directory.since(-1,
-                entry -> ledger.told(name, entry.getKey(), entry.getValue().inService()));
+                entry -> ledger.told(name, entry.getKey(), entry.getValue()));
     }
 
     /** SIGTERM, then SIGKILL no sooner than the page allows, then a new start on the list as it was at the end. */
     void restart() throws Exception {
         ending = true;
+        toldToEnd = process;
         learnList();
         process.destroy();
         if (!process.waitFor((long) (settings.deadlineMs + 700), TimeUnit.MILLISECONDS)) kill();
--- a/src/test/java/maplerail/soak/Ledger.java
+++ b/src/test/java/maplerail/soak/Ledger.java
@@ -38,6 +38,7 @@
     private final int mostAttempts;
     private final Map<String, Request> requests = new HashMap<>();
     private final Map<String, Double> drainToldMs = new HashMap<>();
+    private final Map<String, Long> toldVersions = new HashMap<>();
     private final Map<Integer, Attempt> byConnection = new HashMap<>();
     private final Map<Rule, Integer> broken = new EnumMap<>(Rule.class);
     private final List<String> reports = new ArrayList<>();
@@ -160,9 +161,11 @@
     }
 
     /** Discovery has told a gateway that an engine drains or is gone; or that it is in service again. */
-    synchronized void told(String gateway, String engine, boolean inService) {
+    synchronized void told(String gateway, String engine, Directory.Entry entry) {
         String key = gateway + " " + engine;
-        if (inService) drainToldMs.remove(key);
+        // Several threads tell: what is older than the newest news is none.
+        if (toldVersions.merge(key, entry.version(), Math::max) > entry.version()) return;
+        if (entry.inService()) drainToldMs.remove(key);
         else drainToldMs.putIfAbsent(key, nowMs());
     }
 
