--- a/src/test/java/maplerail/cli/JarIT.java
+++ b/src/test/java/maplerail/cli/JarIT.java
@@ -199,6 +199,38 @@
         }
     }
 
+    /** Its client's clock ran while accept failed: engines are told what is left of its time. */
+    @Test
+    void aRequestThatWaitedForAcceptIsPassedOnWithWhatIsLeftOfItsTime() throws Exception {
+        BlockingQueue<Double> left = World.queue();
+        try (StandIn reader = new StandIn(x -> {
+            if (x.method.equals("POST")) left.add(Double.parseDouble(x.headers.get("req-deadline")));
+            x.reply(202, "{\"cached_tokens\":0}");
+        });
+                StandIn writer = World.writer();
+                World world = new World().engine("r", "prefill", reader).engine("w", "decode", writer)) {
+            Path config = folder.resolve("config.json");
+            Files.writeString(config, world.config("127.0.0.1:0"));
+            Process gateway = start("ulimit -n " + FEW_DESCRIPTORS + "; " + line("run"), config.toString());
+            List<Socket> silent = new ArrayList<>();
+            try {
+                await("listening", () -> port() > 0);
+                int port = port();
+                await("ready", () -> say(port, "GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n").startsWith("HTTP/1.1 200"));
+                for (int i = 0; i < FEW_DESCRIPTORS; i++) silent.add(new Socket("127.0.0.1", port));
+                long sentNanos = System.nanoTime();
+                assertThat(say(port, World.request("a1", "lookup", "9.0"))).contains("[DONE]");
+                double waitedAtMost = (System.nanoTime() - sentNanos) / 1e9;
+                assertThat(waitedAtMost).as("it waited in the backlog").isGreaterThan(1);
+                // Some of that time was spent after it was passed on, on a machine that may be busy.
+                assertThat(World.take(left)).isLessThan(9 - waitedAtMost + 0.15 + 0.5);
+            } finally {
+                gateway.destroyForcibly();
+                for (Socket socket : silent) socket.close();
+            }
+        }
+    }
+
     @Test
     void theAdapterAnswersAnEmptyBatchAndEndsWithItsInput() throws Exception {
         Process adapter = start(line("sim"), null);
