Take what a client waited for accept off its request's time

Cause: RequestReader counted the deadline from when the request was read; while accept fails, its connection waits in the backlog and its client's clock runs. AcceptBackOff tells since when accept has failed, ClientListener what a connection may have waited, and the first request's budget is less by that. Not covered: waits in the backlog while all places for clients are taken, whose length nothing tells.

--- a/src/main/java/maplerail/cli/Gateway.java
+++ b/src/main/java/maplerail/cli/Gateway.java
@@ -195,7 +195,7 @@
                 OptionMap.builder().set(Options.BACKLOG, 1_024).set(Options.TCP_NODELAY, true)
                         .set(Options.CONNECTION_HIGH_WATER, most).set(Options.CONNECTION_LOW_WATER, most - 1).getMap());
         listening.resumeAccepts();
-        loop.execute(() -> AcceptBackOff.limit(loop, listening));
+        loop.execute(() -> AcceptBackOff.limit(loop, listening, listener::acceptFailed));
         return listening;
     }
 
--- a/src/main/java/maplerail/front/ClientListener.java
+++ b/src/main/java/maplerail/front/ClientListener.java
@@ -34,6 +34,7 @@
     private static final double SILENT_MS = 200; // for which a new one may be silent while room is short
     private static final double LONG_IDLE_MS = 30_000;
     private static final double LOOK_MS = 50;
+    private static final double BACKLOG_MS = 100; // in which the backlog has emptied once accept works again
     private static final byte[] TOO_LATE = ("HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\n"
             + "Connection: close\r\n\r\n").getBytes(StandardCharsets.US_ASCII);
     private static final int ROOM_PART = 8; // of the places: kept free by ending what is idle
@@ -46,15 +47,40 @@
     private final int most;
     private final Map<StreamConnection, Tracked> tracked = new LinkedHashMap<>();
     private boolean looking;
+    /** When accept last failed, and since when it had. */
+    private double acceptFailedMs = Double.NEGATIVE_INFINITY;
+    private double acceptFailingSinceMs;
 
     private static final class Tracked {
         State state = State.SILENT;
         double sinceMs;
+        /** Of its first request's time, what may have gone by before it was let in. */
+        double waitedMs;
         /** When the last bytes came, and for how long the request that is arriving may go on if more keep coming. */
         double heardMs;
         double arriveMs = ARRIVE_MS;
     }
 
+    /**
+     * Accept has failed since some time and is about to be tried again: whoever comes in now, or soon, while the
+     * backlog empties, may have waited since then.
+     */
+    public void acceptFailed(double sinceMs) {
+        acceptFailingSinceMs = sinceMs;
+        acceptFailedMs = loop.nowMs();
+    }
+
+    private double waitedToGetIn() {
+        double now = loop.nowMs();
+        return now - acceptFailedMs < BACKLOG_MS ? now - acceptFailingSinceMs : 0;
+    }
+
+    /** For how long the client of a connection's first request may have waited to be let in. */
+    public double waitedMs(HttpServerExchange exchange) {
+        Tracked client = find(exchange);
+        return client == null ? 0 : client.waitedMs;
+    }
+
     /** A listener before the HTTP server's own, through which at most so many connections should be at once. */
     public ClientListener(ChannelListener<StreamConnection> next, Loop loop, int most) {
         this.next = next;
@@ -66,6 +92,7 @@
     public void handleEvent(StreamConnection connection) {
         Tracked client = new Tracked();
         client.sinceMs = loop.nowMs();
+        client.waitedMs = waitedToGetIn();
         tracked.put(connection, client);
         connection.getSourceChannel().setConduit(new Noticing(connection.getSourceChannel().getConduit(), client));
         if (!looking) loop.at(loop.nowMs() + LOOK_MS, this::look);
@@ -108,6 +135,8 @@
     public void entered(HttpServerExchange exchange) {
         exchange.addExchangeCompleteListener((done, proceed) -> {
             set(done, State.IDLE);
+            Tracked client = find(done);
+            if (client != null) client.waitedMs = 0;
             proceed.proceed();
         });
     }
--- a/src/main/java/maplerail/front/platform/PlatformFront.java
+++ b/src/main/java/maplerail/front/platform/PlatformFront.java
@@ -95,7 +95,7 @@
         }
         ServiceRequest request;
         try {
-            request = reader.read(exchange, body);
+            request = reader.read(exchange, body, listener.waitedMs(exchange));
         } catch (RequestReader.BadRequest e) {
             answer.say(400, e.getMessage());
             return;
