Show by failing tests that an answer is believed which the engine's role cannot give

A second answer that comes late on a kept connection meets the next request there: a 202 at a writer counted as proof that an unsafe write never ran, and a stream from a reader went to the client.

--- a/src/test/java/maplerail/core/RuleChecksTest.java
+++ b/src/test/java/maplerail/core/RuleChecksTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.BooleanSupplier;
@@ -13,6 +14,7 @@
 
 /** What the core does where a module orders something that the rules forbid, or a client leaves in the last moment. */
 class RuleChecksTest {
+    private static final long READER = 1;
     private static final long WRITER = 2;
     private static final double DEADLINE_MS = 4_000;
 
@@ -22,6 +24,7 @@
     private final List<String> answers = new ArrayList<>();
     private final List<String> log = new ArrayList<>();
     private double now = 1_000;
+    private int events;
     private boolean left;
     private boolean aborted;
 
@@ -79,6 +82,7 @@
 
         @Override
         public boolean event(byte[] event) {
+            events++;
             return true;
         }
 
@@ -114,12 +118,14 @@
         Router.RequestClass booking = new Router.RequestClass(1_000, 0, DEADLINE_MS, 0, 1, 0, Router.Repeat.UNSAFE,
                 Router.Scope.ALL, 0);
         Router.Settings settings = new Router.Settings(1, 1, 0, 2, false, 1, List.of(booking), List.of(),
-                List.of(new Router.Kind(Router.Role.WRITE, 1)), new Router.Limits(5, true, false, true, 1_000, false),
+                List.of(new Router.Kind(Router.Role.WRITE, 1), new Router.Kind(Router.Role.READ, 1)),
+                new Router.Limits(5, true, false, true, 1_000, false),
                 new Router.Rules(8, 500, 1, 1, 1, 1, 1));
         Broker made = new Broker(router, settings, new Quotas(Budgets.open(3), loop, line -> {}), loop, engines,
                 log::add);
         made.members(new Router.Members(Router.ListKind.WHOLE, 1,
-                List.of(new Router.Member(WRITER, Router.State.READY, 0, 0, 0, 1, 0))));
+                List.of(new Router.Member(WRITER, Router.State.READY, 0, 0, 0, 1, 0),
+                        new Router.Member(READER, Router.State.READY, 0, 0, 0, 1, 1))));
         return made;
     }
 
@@ -139,6 +145,24 @@
         assertThat(log).anyMatch(line -> line.startsWith("rule broken: SEND_WITHHELD request a1 MAY_HAVE_RUN"));
     }
 
+    /** Such an answer is some other request's; it proves nothing of this one. */
+    @Test
+    void aWritersAnswerThatOnlyReadersGiveIsNoProofThatItNeverRan() {
+        take(new Router.Send(1, WRITER, DEADLINE_MS));
+        next.add(new Router.Send(1, WRITER, DEADLINE_MS));
+        sent.get(0).ended(Outcome.READ, 0);
+        assertThat(sent).hasSize(1);
+        assertThat(broker.counters().of(Outcome.ERROR)).isEqualTo(1);
+    }
+
+    @Test
+    void aStreamFromAReaderIsNobodys() {
+        take(new Router.Send(1, READER, DEADLINE_MS));
+        sent.get(0).event("data: of another request\n\n".getBytes(StandardCharsets.UTF_8));
+        assertThat(events).isZero();
+        assertThat(broker.counters().of(Outcome.RESET)).isEqualTo(1);
+    }
+
     @Test
     void aSecondAttemptIsNotMadeWhileOneIsOut() {
         take(new Router.Send(1, WRITER, DEADLINE_MS), new Router.Send(1, WRITER, DEADLINE_MS));
