Believe no answer that an engine of its role never gives

AttemptRunner: READ from a writer, SERVED or STATE_GONE from a reader is an ERROR, which may have run, and a reader's events go nowhere.

--- a/src/main/java/maplerail/core/AttemptRunner.java
+++ b/src/main/java/maplerail/core/AttemptRunner.java
@@ -169,6 +169,10 @@
     }
 
     private void heard(ActiveRequest.Attempt attempt, byte[] event) {
+        if (attempt.reader) {
+            cut(attempt, Outcome.RESET);
+            return;
+        }
         ActiveRequest active = attempt.active;
         if (attempt.heardMs == 0) lostSends.answered(loop.nowMs() - attempt.sentMs);
         attempt.heardMs = loop.nowMs();
@@ -266,8 +270,24 @@
         ended(attempt, proven, 0);
     }
 
-    private void ended(ActiveRequest.Attempt attempt, Outcome outcome, double kept) {
+    /**
+     * An answer that an engine of this role never gives belongs to another request, as a second answer that came late
+     * on a kept connection: it proves nothing of this attempt.
+     */
+    private Outcome believed(ActiveRequest.Attempt attempt, Outcome told) {
+        Router.Role role = fleet.target(attempt.engine).role();
+        boolean foreign = role == Router.Role.READ && (told == Outcome.SERVED || told == Outcome.STATE_GONE)
+                || role == Router.Role.WRITE && told == Outcome.READ && !settings.limits().writersRead();
+        if (!foreign) return told;
+        log.accept(
+                "answer " + told + " of a " + role + " engine to " + attempt.active.request.id() + " is not believed, "
+                        + attempt.sending.trace());
+        return Outcome.ERROR;
+    }
+
+    private void ended(ActiveRequest.Attempt attempt, Outcome told, double kept) {
         if (attempt.ended) return;
+        Outcome outcome = believed(attempt, told);
         attempt.ended = true;
         attempt.outcome = outcome;
         attempt.endedMs = loop.nowMs();
