Test engines' ages by the clock class itself

It now asks EngineClock, with exact times; clocks that are set, sound fleets and engines that are gone have tests there, too.

--- a/src/test/java/maplerail/EngineClockTest.java
+++ b/src/test/java/maplerail/EngineClockTest.java
@@ -117,16 +117,6 @@
         assertCold();
     }
 
-    /** After an outage of discovery news come late: the engine has warmed meanwhile. */
-    @Test
-    void newsThatCameLaterThanOthersTellOfAnOlderEngine() {
-        startWithout();
-        node.list(ListKind.CHANGES, new Member(NEWCOMER + 1, State.READY, node.now + HOUR_MS, 0, 0, 1, 0));
-        passWarmUp();
-        node.list(ListKind.CHANGES, newcomer(node.now + HOUR_MS - 7_500));
-        assertThat(nextShare(3 * ARRIVALS)).isGreaterThan(BETWEEN);
-    }
-
     @Test
     void anEngineThatIsToldAgainWithTheSameStartIsNotColdAgain() {
         startWithout();
--- /dev/null
+++ b/src/test/java/maplerail/policy/EngineAgeTest.java
@@ -0,0 +1,61 @@
+package maplerail.policy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import maplerail.Router.ListKind;
+import maplerail.Router.Member;
+import maplerail.Router.Rules;
+import maplerail.Router.State;
+import org.junit.jupiter.api.Test;
+
+class EngineAgeTest {
+    private static final double WARM_MS = 10_000;
+    private static final double HOUR_MS = 3_600_000;
+
+    private final EngineClock clock = new EngineClock(new Rules(8, 500, 0.25, 2.5, 2_000, WARM_MS, 10_000));
+
+    private void tell(ListKind kind, double nowMs, Member... members) {
+        clock.hear(kind, List.of(members), nowMs);
+    }
+
+    private static Member started(long engine, double stamp) {
+        return new Member(engine, State.READY, stamp, 0, 0, 1, 0);
+    }
+
+    /** After an outage of discovery news come late: the engine has warmed meanwhile. */
+    @Test
+    void newsThatCameLaterThanTheSoonestTellOfAnOlderEngineWhateverTheClocks() {
+        tell(ListKind.WHOLE, 1_000);
+        tell(ListKind.CHANGES, 10_000, started(1, 9_000 + HOUR_MS));
+        tell(ListKind.CHANGES, 20_000, started(2, 14_000 + HOUR_MS));
+        tell(ListKind.CHANGES, 30_000, started(3, 29_500 + HOUR_MS));
+        assertThat(clock.startedMs(1)).isEqualTo(10_000);
+        assertThat(clock.startedMs(2)).as("5 s later than the soonest").isEqualTo(15_000);
+        assertThat(clock.startedMs(3)).as("sooner than the soonest").isEqualTo(30_000);
+    }
+
+    @Test
+    void aDelayBeyondSenseSaysThatAClockWasSet() {
+        tell(ListKind.WHOLE, 1_000);
+        tell(ListKind.CHANGES, 10_000, started(1, 9_000));
+        tell(ListKind.CHANGES, 20_000, started(2, 19_000 - HOUR_MS));
+        tell(ListKind.CHANGES, 30_000, started(3, 27_000 - HOUR_MS));
+        assertThat(clock.startedMs(2)).isEqualTo(20_000);
+        assertThat(clock.startedMs(3)).isEqualTo(28_000);
+    }
+
+    @Test
+    void aSoundFleetOfAFirstListIsNotHeldToBeCold() {
+        tell(ListKind.WHOLE, 10 * HOUR_MS, started(1, HOUR_MS), started(2, HOUR_MS + 100), started(3, HOUR_MS + 200));
+        assertThat(clock.cold(clock.startedMs(3), 10 * HOUR_MS)).isFalse();
+    }
+
+    @Test
+    void whatIsGoneIsForgotten() {
+        tell(ListKind.WHOLE, 1_000, started(1, 900));
+        clock.forget(1);
+        assertThat(clock.startedMs(1)).isZero();
+        assertThat(clock.presentCapacity(clock.startedMs(1), 1_000)).isEqualTo(1);
+    }
+}
