--- a/src/test/java/maplerail/policy/EngineAgeTest.java
+++ b/src/test/java/maplerail/policy/EngineAgeTest.java
@@ -38,9 +38,9 @@
     @Test
     void aDelayBeyondSenseSaysThatAClockWasSet() {
         tell(ListKind.WHOLE, 1_000);
-        tell(ListKind.CHANGES, 10_000, started(1, 9_000));
-        tell(ListKind.CHANGES, 20_000, started(2, 19_000 - HOUR_MS));
-        tell(ListKind.CHANGES, 30_000, started(3, 27_000 - HOUR_MS));
+        tell(ListKind.CHANGES, 10_000, started(1, 9_000 + 2 * HOUR_MS));
+        tell(ListKind.CHANGES, 20_000, started(2, 19_000 + HOUR_MS));
+        tell(ListKind.CHANGES, 30_000, started(3, 27_000 + HOUR_MS));
         assertThat(clock.startedMs(2)).isEqualTo(20_000);
         assertThat(clock.startedMs(3)).isEqualTo(28_000);
     }
