--- /dev/null
+++ b/src/main/java/maplerail/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The command line, start, signals and drain. */
+package maplerail.cli;
--- a/src/main/java/maplerail/core/AttemptRunner.java
+++ b/src/main/java/maplerail/core/AttemptRunner.java
@@ -6,22 +6,11 @@
 import java.util.function.Consumer;
 import maplerail.Router;
 import maplerail.Router.Outcome;
-import maplerail.policy.LostSendRule;
 import maplerail.policy.ProtocolRules;
 import maplerail.policy.ProtocolRules.Reason;
 
-/** Fourth stage: makes the attempts that the module asks for, ends them, and tells how each one ended. */
+/** Makes the attempts that the module asks for, ends them, and tells how each one ended. */
 final class AttemptRunner {
-    /** Why a state was let go while an attempt for it was out. */
-    private enum Released {
-        WRITE_HELD_FOR_LOST
-    }
-
-    /** Sends of what must not take effect twice, after one that did not. */
-    private enum Repeated {
-        AFTER_PROOF_OF_NO_EFFECT
-    }
-
     private static final double STALL_MS = 3_000; // without an event, after which a stream has stopped
     /** That an attempt is left open after its request's answer while the reader of its state is out of reach. */
     private static final double LINGER_MS = 8_000;
@@ -33,12 +22,13 @@
     private final RequestRegistry registry;
     private final Relay relay;
     private final Router.Settings settings;
-    private final LostSendRule lostSends;
+    private final LostWriteWatch lostWrites;
+    private final RepeatLog repeats;
     private final RuleMonitor monitor;
     private final ServiceCounters counters;
     private final Consumer<String> log;
     private final Set<ActiveRequest> touched = new LinkedHashSet<>();
-    private Route route;
+    private DecisionLoop decisions;
     private Consumer<ActiveRequest> gone;
 
     AttemptRunner(Engines engines, Loop loop, Fleet fleet, RequestRegistry registry, Relay relay,
@@ -50,15 +40,16 @@
         this.registry = registry;
         this.relay = relay;
         this.settings = settings;
-        this.lostSends = new LostSendRule(settings.rules().pinLimitMs());
+        this.lostWrites = new LostWriteWatch(loop, registry, settings.rules().pinLimitMs(), counters, log);
+        this.repeats = new RepeatLog(settings.classes(), counters, log);
         this.monitor = monitor;
         this.counters = counters;
         this.log = log;
     }
 
     /** Where attempts' ends are told, and who hears of a caller that is found to have left. */
-    void use(Route to, Consumer<ActiveRequest> whenGone) {
-        route = to;
+    void use(DecisionLoop to, Consumer<ActiveRequest> whenGone) {
+        decisions = to;
         gone = whenGone;
     }
 
@@ -76,7 +67,7 @@
             ended(attempt, Outcome.NOT_SENT, 0);
             return;
         }
-        tellRepeat(attempt);
+        repeats.tell(attempt);
         attempt.timeout = loop.at(until, () -> cut(attempt, Outcome.TIMEOUT));
         attempt.sending = engines.send(order.engine(), active.request, until, () -> mayBegin(attempt),
                 new Engines.Answer() {
@@ -95,43 +86,10 @@
                         AttemptRunner.this.ended(attempt, outcome, kept);
                     }
                 });
-        watchForLoss(attempt);
+        lostWrites.watch(attempt);
         if (order.startByMs() < until) loop.at(order.startByMs(), () -> withdraw(attempt));
     }
 
-    /** Guards against a write that was lost on a silent connection while the state for it stays held at its reader. */
-    private void watchForLoss(ActiveRequest.Attempt attempt) {
-        ActiveRequest active = attempt.active;
-        if (attempt.reader || active.holds.isEmpty()) return;
-        double heldSinceMs = active.attempts.stream().filter(earlier -> earlier.outcome == Outcome.READ)
-                .mapToDouble(earlier -> earlier.endedMs).max().orElse(loop.nowMs());
-        double lostAtMs = lostSends.lostAtMs(attempt.sentMs, heldSinceMs);
-        if (lostAtMs == Double.POSITIVE_INFINITY) return;
-        loop.at(lostAtMs, () -> {
-            boolean heard = attempt.ended || attempt.heardMs > 0 || attempt.sending.provenAlive();
-            if (heard || active.holds.isEmpty()) return;
-            counters.count(Released.WRITE_HELD_FOR_LOST);
-            log.accept("state of " + active.request.id() + " let go: its write at " + Long.toHexString(attempt.engine)
-                    + " not heard for " + Math.round(loop.nowMs() - attempt.sentMs) + " ms, "
-                    + attempt.sending.trace());
-            registry.releaseHeld(active);
-        });
-    }
-
-    /** Tells what proves that an effect which must not come twice may be tried again. */
-    private void tellRepeat(ActiveRequest.Attempt attempt) {
-        if (attempt.reader) return;
-        ActiveRequest active = attempt.active;
-        int kind = active.request.kind();
-        if (kind >= settings.classes().size() || settings.classes().get(kind).repeat() != Router.Repeat.UNSAFE) return;
-        for (ActiveRequest.Attempt earlier : active.attempts) {
-            if (earlier == attempt || earlier.reader) continue;
-            counters.count(Repeated.AFTER_PROOF_OF_NO_EFFECT);
-            log.accept("repeat of " + active.request.id() + ": write " + Long.toHexString(earlier.engine) + " ended "
-                    + earlier.outcome + (earlier.sending == null ? "" : ", " + earlier.sending.trace()));
-        }
-    }
-
     /** Whether an attempt may go out now, by what has really happened; looks whether its client is still there. */
     private Reason verdict(ActiveRequest active, long engine) {
         if (!active.answered && active.caller.hasLeft()) gone.accept(active);
@@ -174,7 +132,7 @@
             return;
         }
         ActiveRequest active = attempt.active;
-        if (attempt.heardMs == 0) lostSends.answered(loop.nowMs() - attempt.sentMs);
+        if (attempt.heardMs == 0) lostWrites.answered(attempt);
         attempt.heardMs = loop.nowMs();
         if (active.winner == null && !active.answered) {
             active.winner = attempt;
@@ -184,7 +142,7 @@
             // What is held goes with the first token, but not what a reader that was cut off holds later.
             active.mayHold.retainAll(active.cutReadsMs.keySet());
             active.holds.clear();
-            route.tell(new Router.FirstToken(active.number, attempt.number, attempt.engine,
+            decisions.tell(new Router.FirstToken(active.number, attempt.number, attempt.engine,
                     loop.nowMs() - attempt.sentMs));
         }
         if (active.winner == attempt) relay.event(attempt, event);
@@ -213,7 +171,7 @@
         ended(attempt, Outcome.CANCELLED, 0);
         if (!last) return;
         cutAll(active);
-        route.tell(new Router.Abandoned(active.number));
+        decisions.tell(new Router.Abandoned(active.number));
         active.caller.fail(Caller.Why.INVALID);
     }
 
@@ -302,7 +260,7 @@
         // An answer may be whole without an event; it is the caller's all the same.
         if (outcome == Outcome.SERVED && active.winner == null && !active.answered) active.winner = attempt;
         if (active.winner == attempt) relay.ended(attempt, outcome);
-        route.tell(new Router.Ended(active.number, attempt.number, attempt.engine, outcome,
+        decisions.tell(new Router.Ended(active.number, attempt.number, attempt.engine, outcome,
                 loop.nowMs() - attempt.sentMs, kept, active.answered, UNTOLD));
     }
 
--- a/src/main/java/maplerail/core/Broker.java
+++ b/src/main/java/maplerail/core/Broker.java
@@ -8,7 +8,7 @@
 import maplerail.policy.ProtocolRules.Reason;
 
 /**
- * Drives one decision module on one event loop. A request passes the stages admission, quotas, route, send,
+ * Drives one decision module on one event loop. A request passes the stages admission, quotas, decisions, attempts,
  * relay and registry; the broker knows requests, attempts and outcomes and no wire. All calls are made on the loop.
  */
 public final class Broker {
@@ -20,7 +20,7 @@
     private final RequestRegistry registry;
     private final Admission admission;
     private final Quotas quotas;
-    private final Route route;
+    private final DecisionLoop decisions;
     private final AttemptRunner runner;
     private final Relay relay;
     private final FailureLog failureLog;
@@ -44,8 +44,8 @@
         failureLog = new FailureLog(loop, log);
         relay = new Relay(registry, loop, failureLog, counters);
         runner = new AttemptRunner(engines, loop, fleet, registry, relay, settings, monitor, counters, log);
-        route = new Route(router, loop, this::perform, runner::settle, log);
-        runner.use(route, this::gone);
+        decisions = new DecisionLoop(router, loop, this::perform, runner::settle, log);
+        runner.use(decisions, this::gone);
     }
 
     /** Takes a request; its caller gets its one final answer in any case. */
@@ -66,7 +66,7 @@
         }
         active.admitted = true;
         active.guard = loop.at(active.deadlineMs + GUARD_MS, () -> overdue(active));
-        route.tell(new Router.Arrival(active.number, request.kind(), request.tenant(), request.session(),
+        decisions.tell(new Router.Arrival(active.number, request.kind(), request.tenant(), request.session(),
                 request.promptTokens(),
                 request.prefix(), request.prefixTokens(), request.budgetMs(), request.maxOutput(), request.hintMs(),
                 request.resumed()));
@@ -77,7 +77,7 @@
     public void members(Router.Members news) {
         fleet.hear(news);
         tellChanges(news);
-        route.tell(news);
+        decisions.tell(news);
         runner.withdrawUnsent();
     }
 
@@ -112,7 +112,7 @@
         else if (action instanceof Router.Refuse refuse) refuse(refuse);
         else if (action instanceof Router.Fail fail) fail(fail.id(), Why.ENGINE, fail.why());
         else if (action instanceof Router.SetTimer timer) {
-            loop.at(timer.atMs(), () -> route.tell(new Router.Timer(timer.token())));
+            loop.at(timer.atMs(), () -> decisions.tell(new Router.Timer(timer.token())));
         } else if (action instanceof Router.Log line) log.accept(line.text());
         // Subscribe and FetchList need nothing: the list is always watched.
     }
@@ -163,7 +163,7 @@
     }
 
     private void leave(ActiveRequest active) {
-        route.tell(new Router.Abandoned(active.number));
+        decisions.tell(new Router.Abandoned(active.number));
         runner.cutAll(active);
         registry.settle(active);
     }
--- a/src/main/java/maplerail/core/Route.java
+++ b/src/main/java/maplerail/core/DecisionLoop.java
@@ -5,8 +5,8 @@
 import java.util.function.Consumer;
 import maplerail.Router;
 
-/** Third stage: tells the module each event in order and hands on each action, one after the other; then all is settled. */
-final class Route {
+/** tells the module each event in order and hands on each action, one after the other; then all is settled. */
+final class DecisionLoop {
     private final Router router;
     private final Loop loop;
     private final Consumer<Router.Action> perform;
@@ -15,7 +15,7 @@
     private final Consumer<String> log;
     private boolean stepping;
 
-    Route(Router router, Loop loop, Consumer<Router.Action> perform, Runnable settled, Consumer<String> log) {
+    DecisionLoop(Router router, Loop loop, Consumer<Router.Action> perform, Runnable settled, Consumer<String> log) {
         this.router = router;
         this.loop = loop;
         this.perform = perform;
--- /dev/null
+++ b/src/main/java/maplerail/front/jsonrpc/package-info.java
@@ -0,0 +1,2 @@
+/** The JSON-RPC front for tool calls and for requests. */
+package maplerail.front.jsonrpc;
--- /dev/null
+++ b/src/main/java/maplerail/sim/package-info.java
@@ -0,0 +1,2 @@
+/** The same decision module on the simulator's wire. */
+package maplerail.sim;
