Close clients' connections and take requests by the same rules, and count each close by its reason

ClientListener asks ProtocolRules.close, PlatformFront ProtocolRules.start; counts tell why connections were ended, or that a request had come just then (HEARD_IN_TIME).

--- a/src/main/java/maplerail/cli/Gateway.java
+++ b/src/main/java/maplerail/cli/Gateway.java
@@ -187,7 +187,7 @@
                 .set(UndertowOptions.BUFFER_PIPELINED_DATA, true).getMap());
         http.setRootHandler(handler);
         int most = config.wire().sockets() * percent / 100;
-        ClientListener listener = new ClientListener(http, loop, most);
+        ClientListener listener = new ClientListener(http, loop, most, broker.counters());
         listeners.add(listener);
         through.accept(listener);
         AcceptingChannel<?> listening = worker.createStreamConnectionServer(at,
--- a/src/main/java/maplerail/core/DecisionLoop.java
+++ b/src/main/java/maplerail/core/DecisionLoop.java
@@ -5,7 +5,7 @@
 import java.util.function.Consumer;
 import maplerail.Router;
 
-/** tells the module each event in order and hands on each action, one after the other; then all is settled. */
+/** Tells the module each event in order and hands on each action, one after the other; then all is settled. */
 final class DecisionLoop {
     private final Router router;
     private final Loop loop;
--- a/src/main/java/maplerail/front/ClientListener.java
+++ b/src/main/java/maplerail/front/ClientListener.java
@@ -11,6 +11,9 @@
 import java.util.List;
 import java.util.Map;
 import maplerail.core.Loop;
+import maplerail.core.ServiceCounters;
+import maplerail.policy.ProtocolRules;
+import maplerail.policy.ProtocolRules.Reason;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.xnio.ChannelListener;
@@ -42,9 +45,15 @@
 
     private enum State { SILENT, ARRIVING, OPEN, IDLE, KEPT }
 
+    /** Why the gateway ended a client's connection, or left it open after all. */
+    private enum Closed {
+        SAID_NOTHING, REQUEST_INCOMPLETE, IDLE_TOO_LONG, ROOM_SHORT, SHUTTING_DOWN, HEARD_IN_TIME
+    }
+
     private final ChannelListener<StreamConnection> next;
     private final Loop loop;
     private final int most;
+    private final ServiceCounters counters;
     private final Map<StreamConnection, Tracked> tracked = new LinkedHashMap<>();
     private boolean looking;
     /** When accept last failed, and since when it had. */
@@ -82,10 +91,11 @@
     }
 
     /** A listener before the HTTP server's own, through which at most so many connections should be at once. */
-    public ClientListener(ChannelListener<StreamConnection> next, Loop loop, int most) {
+    public ClientListener(ChannelListener<StreamConnection> next, Loop loop, int most, ServiceCounters counters) {
         this.next = next;
         this.loop = loop;
         this.most = most;
+        this.counters = counters;
     }
 
     @Override
@@ -173,7 +183,7 @@
     private void look() {
         double now = loop.nowMs();
         tracked.keySet().removeIf(connection -> !connection.isOpen());
-        List<StreamConnection> ended = new ArrayList<>();
+        Map<StreamConnection, Closed> ended = new LinkedHashMap<>();
         tracked.forEach((connection, client) -> {
             double age = now - client.sinceMs;
             boolean late = switch (client.state) {
@@ -182,7 +192,7 @@
                 case IDLE -> age >= LONG_IDLE_MS;
                 default -> false;
             };
-            if (late) ended.add(connection);
+            if (late) ended.put(connection, lateAs(client.state));
         });
         ended.forEach(this::turnOutUnlessHeard);
         end(State.IDLE, tracked.size() >= most - most / FULL_PART ? SILENT_MS : IDLE_MS, now);
@@ -195,16 +205,26 @@
      * Ends a connection unless a request has come on it by now. Guards against a loop that stood still: timers run
      * before what has arrived is read, and a close over unread bytes would lose a request that is already there.
      */
-    private void turnOutUnlessHeard(StreamConnection connection) {
+    private void turnOutUnlessHeard(StreamConnection connection, Closed why) {
         Tracked client = tracked.get(connection);
         State state = client.state;
         double sinceMs = client.sinceMs;
         loop.afterInput(() -> {
             boolean unchanged = client.state == state && client.sinceMs == sinceMs;
-            if (unchanged && tracked.containsKey(connection)) turnOut(connection);
+            if (!tracked.containsKey(connection)) return;
+            counters.count(unchanged ? why : Closed.HEARD_IN_TIME);
+            if (unchanged) turnOut(connection);
         });
     }
 
+    private static Closed lateAs(State state) {
+        return switch (state) {
+            case SILENT -> Closed.SAID_NOTHING;
+            case ARRIVING -> Closed.REQUEST_INCOMPLETE;
+            default -> Closed.IDLE_TOO_LONG;
+        };
+    }
+
     private void turnOut(StreamConnection connection) {
         Tracked client = tracked.remove(connection);
         if (client.state == State.ARRIVING) {
@@ -222,18 +242,24 @@
         int over = tracked.size() - (most - most / ROOM_PART);
         if (over <= 0) return;
         tracked.entrySet().stream()
-                .filter(e -> e.getValue().state == state && now - e.getValue().sinceMs >= leastMs)
+                .filter(e -> e.getValue().state == state && ProtocolRules.close(false, now - e.getValue().sinceMs,
+                        leastMs) == Reason.ALLOWED)
                 .sorted((a, b) -> Double.compare(a.getValue().sinceMs, b.getValue().sinceMs))
-                .limit(over).map(Map.Entry::getKey).toList().forEach(this::turnOutUnlessHeard);
+                .limit(over).map(Map.Entry::getKey).toList()
+                .forEach(connection -> turnOutUnlessHeard(connection, Closed.ROOM_SHORT));
     }
 
     /** Ends the connections on which nothing is open or on its way, for a program that is about to stop. */
     public void closeIdle() {
         List<StreamConnection> idle = new ArrayList<>();
         tracked.forEach((connection, client) -> {
-            if (client.state == State.IDLE || client.state == State.SILENT) idle.add(connection);
+            boolean inUse = client.state != State.IDLE && client.state != State.SILENT;
+            if (ProtocolRules.close(inUse, 0, 0) == Reason.ALLOWED) idle.add(connection);
+        });
+        idle.stream().filter(StreamConnection::isOpen).forEach(connection -> {
+            counters.count(Closed.SHUTTING_DOWN);
+            IoUtils.safeClose(connection);
         });
-        idle.forEach(IoUtils::safeClose);
     }
 
     /** Ends all connections: the worker's end alone would leave them open. */
--- a/src/main/java/maplerail/front/platform/PlatformFront.java
+++ b/src/main/java/maplerail/front/platform/PlatformFront.java
@@ -16,6 +16,8 @@
 import maplerail.core.Loop;
 import maplerail.front.ClientListener;
 import maplerail.front.RequestTurns;
+import maplerail.policy.ProtocolRules;
+import maplerail.policy.ProtocolRules.Reason;
 import org.xnio.IoUtils;
 
 /** The platform's protocol before the broker: readiness, and one request for each exchange. */
@@ -102,7 +104,9 @@
         }
         // Guards against clients that go on using a connection which a long stream kept open: what is taken now may
         // outlast the time that is left to end it, and a repeat is served by another gateway.
-        if (!lifecycle.phase().takes()) {
+        Reason verdict = ProtocolRules.start(!lifecycle.phase().takes());
+        if (verdict != Reason.ALLOWED) {
+            broker.counters().count(verdict);
             answer.refuse(Caller.Why.OVERLOAD, 0);
             return;
         }
--- a/src/test/java/maplerail/front/ClientListenerTest.java
+++ b/src/test/java/maplerail/front/ClientListenerTest.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
+import maplerail.core.ServiceCounters;
 import maplerail.net.XnioLoop;
 import maplerail.support.StandIn;
 import maplerail.support.World;
@@ -93,7 +94,7 @@
                 connection.getSourceChannel().setReadListener(channel -> read(channel, heard));
                 connection.getSourceChannel().resumeReads();
                 heard.add("accepted");
-            }, loop, 0);
+            }, loop, 0, new ServiceCounters(loop, line -> {}));
             AcceptingChannel<StreamConnection> server = worker.createStreamConnectionServer(
                     new InetSocketAddress("127.0.0.1", 0), ChannelListeners.openListenerAdapter(listener),
                     OptionMap.EMPTY);
