Show by a failing test that an attempt that was given up may still arrive

Call.finish closes the connection in good order: what the system still holds is sent on, and after a partition or a full window the whole request arrives although it has gone on elsewhere.

--- a/src/test/java/maplerail/net/PoolTest.java
+++ b/src/test/java/maplerail/net/PoolTest.java
@@ -23,6 +23,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Supplier;
 import java.util.stream.Stream;
 import maplerail.support.StandIn;
@@ -349,4 +350,38 @@
             assertThat(post(pool, server.socketAddress())).isEqualTo("never sent");
         }
     }
+
+    /** After a partition the system would go on sending what it still holds, though the request went on elsewhere. */
+    @Test
+    void whatWasGivenUpBeforeItArrivedDoesNotArriveLater() throws Exception {
+        byte[] body = new byte[400_000];
+        try (ServerSocket server = new ServerSocket()) {
+            server.setReceiveBufferSize(4_096);
+            server.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0));
+            InetSocketAddress at = (InetSocketAddress) server.getLocalSocketAddress();
+            Pool pool = pool(30_000);
+            CountDownLatch started = new CountDownLatch(1);
+            AtomicReference<Call> call = new AtomicReference<>();
+            loop.execute(() -> {
+                call.set(pool.start(at, request(at), body, new Heard(heard)));
+                started.countDown();
+            });
+            started.await();
+            try (Socket accepted = server.accept()) {
+                await("written whole", () -> call.get().trace().matches("written (\\d+) of \\1 .*"));
+                loop.execute(() -> call.get().abort());
+                await("ended", () -> pool.open() == 0);
+                int arrived = 0;
+                try {
+                    for (int count = accepted.getInputStream().read(body); count >= 0;) {
+                        arrived += count;
+                        count = accepted.getInputStream().read(body);
+                    }
+                } catch (SocketException e) {
+                    assertThat(e).hasMessageContaining("reset");
+                }
+                assertThat(arrived).isLessThan(body.length);
+            }
+        }
+    }
 }
