Abort the connection of an attempt that is given up, so that it cannot arrive later

Cause: Call.finish ended it with FIN behind what had not arrived. It now ends with a reset (CLOSE_ABORT), which takes back what the system still holds; an idle connection is closed in good order as before.

--- a/src/main/java/maplerail/net/Call.java
+++ b/src/main/java/maplerail/net/Call.java
@@ -256,6 +256,6 @@
         done = true;
         calm();
         if (disconnect != null) disconnect.run();
-        if (link != null) link.close();
+        if (link != null) link.abort();
     }
 }
--- a/src/main/java/maplerail/net/Link.java
+++ b/src/main/java/maplerail/net/Link.java
@@ -3,11 +3,16 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.xnio.IoUtils;
+import org.xnio.Options;
 import org.xnio.StreamConnection;
 
 /** An open connection of a {@link Pool}; one call has it at a time, or none. */
 final class Link {
+    private static final Logger LOG = LoggerFactory.getLogger(Link.class);
+
     final InetSocketAddress to;
     final StreamConnection connection;
     double idleSinceMs;
@@ -26,6 +31,19 @@
         IoUtils.safeClose(connection);
     }
 
+    /**
+     * Ends it and takes back what has not arrived. Guards against a request that was given up: after a close in good
+     * order the system goes on sending what it holds, and a request that has gone on elsewhere would arrive, too.
+     */
+    void abort() {
+        try {
+            connection.setOption(Options.CLOSE_ABORT, true);
+        } catch (IOException e) {
+            LOG.debug("a connection could not be set to abort", e); // it is gone already
+        }
+        close();
+    }
+
     /** Watches for what belongs to no call: bytes behind an answer, or the far side's end. Either ends it. */
     void idle(double nowMs) {
         idleSinceMs = nowMs;
