--- a/src/test/java/maplerail/cli/JarIT.java
+++ b/src/test/java/maplerail/cli/JarIT.java
@@ -52,6 +52,13 @@
         return said.find() ? Integer.parseInt(said.group(1)) : 0;
     }
 
+    /** Waits until the program is ready, and returns its port. */
+    private int readyPort() throws InterruptedException {
+        await("listening", () -> port() > 0);
+        await("ready", () -> say(port(), "GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n").startsWith("HTTP/1.1 200"));
+        return port();
+    }
+
     private static String say(int port, String request) {
         try (Socket socket = new Socket("127.0.0.1", port)) {
             socket.getOutputStream().write(request.replaceFirst("\r\n", "\r\nConnection: close\r\n")
@@ -75,9 +82,7 @@
             long startNanos = System.nanoTime();
             Process gateway = start(line("run"), config.toString());
             try {
-                await("listening", () -> port() > 0);
-                int port = port();
-                await("ready", () -> say(port, "GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n").startsWith("HTTP/1.1 200"));
+                int port = readyPort();
                 assertThat(System.nanoTime() - startNanos).as("until a restarted one is back")
                         .isLessThan(10_000_000_000L);
                 try (Socket client = new Socket("127.0.0.1", port)) {
@@ -182,9 +187,7 @@
             Process gateway = start("ulimit -n " + FEW_DESCRIPTORS + "; " + line("run"), config.toString());
             List<Socket> silent = new ArrayList<>();
             try {
-                await("listening", () -> port() > 0);
-                int port = port();
-                await("ready", () -> say(port, "GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n").startsWith("HTTP/1.1 200"));
+                int port = readyPort();
                 for (int i = 0; i < 2 * FEW_DESCRIPTORS; i++) silent.add(new Socket("127.0.0.1", port));
                 // The gateway ends those that say nothing, which gives it descriptors again.
                 assertThat(silent.get(0).getInputStream().read()).isNegative();
@@ -214,9 +217,7 @@
             Process gateway = start("ulimit -n " + FEW_DESCRIPTORS + "; " + line("run"), config.toString());
             List<Socket> silent = new ArrayList<>();
             try {
-                await("listening", () -> port() > 0);
-                int port = port();
-                await("ready", () -> say(port, "GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n").startsWith("HTTP/1.1 200"));
+                int port = readyPort();
                 for (int i = 0; i < FEW_DESCRIPTORS; i++) silent.add(new Socket("127.0.0.1", port));
                 long sentNanos = System.nanoTime();
                 assertThat(say(port, World.request("a1", "lookup", "9.0"))).contains("[DONE]");
--- /dev/null
+++ b/src/test/java/maplerail/core/BrokerRig.java
@@ -0,0 +1,140 @@
+package maplerail.core;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.BooleanSupplier;
+import maplerail.Router;
+import maplerail.support.ManualLoop;
+
+/** A broker with one reader and one writer that are not there, under a module that orders what a test tells it to. */
+final class BrokerRig {
+    static final long READER = 1;
+    static final long WRITER = 2;
+    static final double DEADLINE_MS = 4_000;
+    static final double PIN_LIMIT_MS = 500;
+    private static final int MOST_OPEN = 100;
+
+    final ManualLoop loop = new ManualLoop();
+    /** What the module orders next. */
+    final List<Router.Action> next = new ArrayList<>();
+    /** The attempts that went out, and what each asks before its first byte if it has to wait. */
+    final List<Engines.Answer> sent = new ArrayList<>();
+    final List<BooleanSupplier> permits = new ArrayList<>();
+    final List<Double> releasedAtMs = new ArrayList<>();
+    final List<String> answers = new ArrayList<>();
+    final List<String> log = new ArrayList<>();
+    int events;
+    boolean callerLeft;
+    boolean aborted;
+    /** Of the attempts that go out: whether a byte has been written, and whether they have surely arrived. */
+    boolean unsent;
+    boolean provenAlive;
+    final Broker broker;
+
+    /** A broker of one class whose requests must not take effect twice. */
+    BrokerRig() {
+        Router router = (nowMs, told) -> {
+            List<Router.Action> actions = List.copyOf(next);
+            next.clear();
+            return actions;
+        };
+        Router.RequestClass booking = new Router.RequestClass(1_000, 0, DEADLINE_MS, 0, 1, 0, Router.Repeat.UNSAFE,
+                Router.Scope.ALL, 0);
+        Router.Settings settings = new Router.Settings(1, 1, 0, 2, false, 1, List.of(booking), List.of(),
+                List.of(new Router.Kind(Router.Role.READ, 1), new Router.Kind(Router.Role.WRITE, 1)),
+                new Router.Limits(6, true, false, true, 1_000, false),
+                new Router.Rules(8, PIN_LIMIT_MS, 1, 1, 1, 1, 1));
+        broker = new Broker(router, settings, new Quotas(Budgets.open(MOST_OPEN), loop, line -> {}), loop, engines(),
+                log::add);
+        broker.members(new Router.Members(Router.ListKind.WHOLE, 1,
+                List.of(new Router.Member(READER, Router.State.READY, 0, 0, 0, 1, 0),
+                        new Router.Member(WRITER, Router.State.READY, 0, 0, 0, 1, 1))));
+    }
+
+    /** Takes a request, for which the module orders this first. */
+    void take(String id, Router.Action... first) {
+        next.addAll(List.of(first));
+        broker.take(new ServiceRequest(id, 0, 0, 0, 100, 0, 0, DEADLINE_MS, 10, 0, false, 10, null), caller());
+    }
+
+    Engines.Answer lastSent() {
+        return sent.get(sent.size() - 1);
+    }
+
+    private Engines engines() {
+        return new Engines() {
+            @Override
+            public Sending send(long engine, ServiceRequest request, double untilMs, BooleanSupplier mayBegin,
+                    Answer answer) {
+                sent.add(answer);
+                permits.add(mayBegin);
+                return sending();
+            }
+
+            @Override
+            public void release(long engine, String id, double untilMs, Runnable answered) {
+                if (engine == READER) releasedAtMs.add(loop.now);
+            }
+        };
+    }
+
+    private Engines.Sending sending() {
+        return new Engines.Sending() {
+            @Override
+            public boolean unsent() {
+                return unsent;
+            }
+
+            @Override
+            public boolean provenAlive() {
+                return provenAlive;
+            }
+
+            @Override
+            public void abort() {
+                aborted = true;
+            }
+
+            @Override
+            public void pause() {}
+
+            @Override
+            public void resume() {}
+        };
+    }
+
+    private Caller caller() {
+        return new Caller() {
+            @Override
+            public boolean hasLeft() {
+                return callerLeft;
+            }
+
+            @Override
+            public boolean event(byte[] event) {
+                events++;
+                return true;
+            }
+
+            @Override
+            public void end() {
+                answers.add("end");
+            }
+
+            @Override
+            public void broken() {
+                answers.add("broken");
+            }
+
+            @Override
+            public void refuse(Why why, double retryAfterMs) {
+                answers.add("refuse");
+            }
+
+            @Override
+            public void fail(Why why) {
+                answers.add("fail");
+            }
+        };
+    }
+}
