--- a/src/test/java/maplerail/core/BrokerRig.java
+++ b/src/test/java/maplerail/core/BrokerRig.java
@@ -6,10 +6,11 @@
 import maplerail.Router;
 import maplerail.support.ManualLoop;
 
-/** A broker with one reader and one writer that are not there, under a module that orders what a test tells it to. */
+/** A broker with two readers and one writer that are not there, under a module that orders what a test tells it to. */
 final class BrokerRig {
     static final long READER = 1;
     static final long WRITER = 2;
+    static final long OTHER_READER = 3;
     static final double DEADLINE_MS = 4_000;
     static final double PIN_LIMIT_MS = 500;
     private static final int MOST_OPEN = 100;
@@ -48,7 +49,8 @@
                 log::add);
         broker.members(new Router.Members(Router.ListKind.WHOLE, 1,
                 List.of(new Router.Member(READER, Router.State.READY, 0, 0, 0, 1, 0),
-                        new Router.Member(WRITER, Router.State.READY, 0, 0, 0, 1, 1))));
+                        new Router.Member(WRITER, Router.State.READY, 0, 0, 0, 1, 1),
+                        new Router.Member(OTHER_READER, Router.State.READY, 0, 0, 0, 1, 0))));
     }
 
     /** Takes a request, for which the module orders this first. */
--- a/src/test/java/maplerail/core/LostWriteTest.java
+++ b/src/test/java/maplerail/core/LostWriteTest.java
@@ -39,6 +39,22 @@
         assertThat(rig.releasedAtMs.get(0)).isLessThan(readEndedMs + PIN_LIMIT_MS + SLACK_MS / 2);
     }
 
+    /** Its reader may read on, and then holds a state after the request has gone on elsewhere and been served. */
+    @Test
+    void whatAReadLeavesWhoseConnectionBrokeIsLetGoThoughItsRequestWasServed() {
+        rig.take("a1", new Router.Send(1, READER, LONG_MS));
+        rig.next.add(new Router.Send(1, OTHER_READER, LONG_MS));
+        rig.lastSent().ended(Outcome.RESET, 0);
+        rig.next.add(new Router.Send(1, WRITER, LONG_MS));
+        rig.lastSent().ended(Outcome.READ, 0);
+        rig.lastSent().event(new byte[1]);
+        rig.lastSent().ended(Outcome.SERVED, 0);
+        double servedMs = rig.loop.now;
+        rig.loop.until(servedMs + 1_000);
+        assertThat(rig.releasedAtMs).hasSizeGreaterThan(1);
+        assertThat(rig.releasedAtMs.get(0)).isEqualTo(servedMs);
+    }
+
     @Test
     void aStateStaysForAWriteOnAConnectionThatHasJustComeUp() {
         rig.provenAlive = true;
