Let go, as of a cut read, what a read leaves whose connection broke

Cause: AttemptRunner.heard dropped, at the first token, all that may be held but at readers that were cut off by us; a read that ended as RESET was not among them, though its reader may read on.

--- a/src/main/java/maplerail/core/ActiveRequest.java
+++ b/src/main/java/maplerail/core/ActiveRequest.java
@@ -22,7 +22,7 @@
     final Set<Long> holds = new LinkedHashSet<>();
     boolean admitted;
     boolean answered;
-    /** When a read was last cut off at an engine, which may read on all the same and hold a state in the end. */
+    /** When a read was last cut off or broke at an engine, which may read on and hold a state in the end. */
     final Map<Long, Double> cutReadsMs = new LinkedHashMap<>();
     /** The attempt whose events the caller gets. */
     Attempt winner;
--- a/src/main/java/maplerail/core/AttemptRunner.java
+++ b/src/main/java/maplerail/core/AttemptRunner.java
@@ -257,6 +257,8 @@
         if (read) active.holds.add(attempt.engine);
         // A read that was cut off may have ended well just then.
         if (read || attempt.reader && !outcome.neverRan) active.mayHold.add(attempt.engine);
+        // So may one whose connection broke: nobody has told its reader to stop.
+        if (attempt.reader && outcome == Outcome.RESET) active.cutReadsMs.put(attempt.engine, loop.nowMs());
         // An answer may be whole without an event; it is the caller's all the same.
         if (outcome == Outcome.SERVED && active.winner == null && !active.answered) active.winner = attempt;
         if (active.winner == attempt) relay.ended(attempt, outcome);
--- a/src/test/java/maplerail/core/LostWriteTest.java
+++ b/src/test/java/maplerail/core/LostWriteTest.java
@@ -1,5 +1,6 @@
 package maplerail.core;
 
+import static maplerail.core.BrokerRig.OTHER_READER;
 import static maplerail.core.BrokerRig.PIN_LIMIT_MS;
 import static maplerail.core.BrokerRig.READER;
 import static maplerail.core.BrokerRig.WRITER;
