--- a/src/main/java/maplerail/core/FailureLog.java
+++ b/src/main/java/maplerail/core/FailureLog.java
@@ -8,28 +8,22 @@
  * second does not cost the processor time that it lacks most.
  */
 final class FailureLog {
-    private static final int MOST_LINES = 20; // in a window: enough to follow some, too few to cost anything
-    private static final double WINDOW_MS = 1_000;
-
     private final Loop loop;
     private final Consumer<String> log;
-    private double windowMs = Double.NEGATIVE_INFINITY;
-    private int lines;
+    private final LineLimit limit;
 
     FailureLog(Loop loop, Consumer<String> log) {
         this.loop = loop;
         this.log = log;
+        this.limit = new LineLimit(loop);
     }
 
     /** Tells of a request that was not served whole. */
     void bad(ActiveRequest active, String end) {
         double now = loop.nowMs();
-        if (now - windowMs >= WINDOW_MS) {
-            if (lines > MOST_LINES) log.accept("requests ended badly and not told: " + (lines - MOST_LINES));
-            windowMs = now;
-            lines = 0;
-        }
-        if (++lines > MOST_LINES) return;
+        int leftOut = limit.leftOut();
+        if (leftOut > 0) log.accept("requests ended badly and not told: " + leftOut);
+        if (!limit.admits()) return;
         double takenMs = active.deadlineMs - active.request.budgetMs();
         StringBuilder line = new StringBuilder(160).append("request ").append(active.request.id()).append(" kind ")
                 .append(active.request.kind()).append(' ').append(end).append(" after ")
--- a/src/main/java/maplerail/core/RuleMonitor.java
+++ b/src/main/java/maplerail/core/RuleMonitor.java
@@ -19,29 +19,20 @@
         STATE_HELD
     }
 
-    private static final int MOST_LINES = 20;
-    private static final double WINDOW_MS = 1_000;
-
-    private final Loop loop;
     private final ServiceCounters counters;
     private final Consumer<String> log;
-    private double windowMs = Double.NEGATIVE_INFINITY;
-    private int lines;
+    private final LineLimit limit;
 
     /** Makes a monitor that counts and logs. */
     public RuleMonitor(Loop loop, ServiceCounters counters, Consumer<String> log) {
-        this.loop = loop;
         this.counters = counters;
         this.log = log;
+        this.limit = new LineLimit(loop);
     }
 
     void breach(Breach breach, String requestId, String detail) {
         counters.count(breach);
-        double now = loop.nowMs();
-        if (now - windowMs >= WINDOW_MS) {
-            windowMs = now;
-            lines = 0;
-        }
-        if (++lines <= MOST_LINES) log.accept("rule broken: " + breach + " request " + requestId + " " + detail);
+        limit.leftOut(); // the counters tell how many there were
+        if (limit.admits()) log.accept("rule broken: " + breach + " request " + requestId + " " + detail);
     }
 }
