--- a/src/main/java/maplerail/core/AttemptRunner.java
+++ b/src/main/java/maplerail/core/AttemptRunner.java
@@ -104,9 +104,13 @@
     private boolean mayBegin(ActiveRequest.Attempt attempt) {
         ActiveRequest active = attempt.active;
         if (!active.answered && active.caller.hasLeft()) gone.accept(active);
-        if (!attempt.ended && !fleet.ready(attempt.engine)) cut(attempt, Outcome.CANCELLED);
-        if (!attempt.ended && active.deadlineMs <= loop.nowMs()) cut(attempt, Outcome.CANCELLED);
-        return !attempt.ended;
+        if (attempt.ended) return false;
+        Reason verdict = ProtocolRules.begin(active.state(settings.classes(), fleet), fleet.target(attempt.engine),
+                loop.nowMs());
+        if (verdict == Reason.ALLOWED) return true;
+        counters.count(verdict);
+        cut(attempt, Outcome.CANCELLED);
+        return false;
     }
 
     private void withhold(ActiveRequest.Attempt attempt, Reason why) {
--- a/src/main/java/maplerail/policy/ProtocolRules.java
+++ b/src/main/java/maplerail/policy/ProtocolRules.java
@@ -18,8 +18,6 @@
         ALLOWED,
         /** The request has its final answer, or its stream has begun. */
         REQUEST_OVER,
-        /** The client has closed its connection. */
-        CLIENT_LEFT,
         /** The client has given up by now. */
         DEADLINE_PASSED,
         /** The settings allow no further attempt. */
@@ -49,13 +47,19 @@
 
     /** Whether an attempt may go out now. */
     public static Reason send(RequestState request, Target target, Limits limits, double nowMs) {
-        if (request.over()) return Reason.REQUEST_OVER;
-        if (nowMs >= request.deadlineMs()) return Reason.DEADLINE_PASSED;
-        if (!target.inService()) return Reason.ENGINE_NOT_IN_SERVICE;
+        Reason begin = begin(request, target, nowMs);
+        if (begin != Reason.ALLOWED) return begin;
         Reason once = attempt(request, limits);
         return once == Reason.ALLOWED ? repeat(request, target, 0, nowMs) : once;
     }
 
+    /** Whether an attempt that counts already, but of which not a byte has gone out, may still begin now. */
+    public static Reason begin(RequestState request, Target target, double nowMs) {
+        if (request.over()) return Reason.REQUEST_OVER;
+        if (nowMs >= request.deadlineMs()) return Reason.DEADLINE_PASSED;
+        return target.inService() ? Reason.ALLOWED : Reason.ENGINE_NOT_IN_SERVICE;
+    }
+
     /** Whether a further attempt may be out, wherever it goes. */
     public static Reason attempt(RequestState request, Limits limits) {
         if (request.over()) return Reason.REQUEST_OVER;
