--- a/src/test/java/maplerail/cli/JarIT.java
+++ b/src/test/java/maplerail/cli/JarIT.java
@@ -46,6 +46,12 @@
         }
     }
 
+    private Process startWithFewDescriptors(World world) throws Exception {
+        Path config = folder.resolve("config.json");
+        Files.writeString(config, world.config("127.0.0.1:0"));
+        return start("ulimit -n " + FEW_DESCRIPTORS + "; " + line("run"), config.toString());
+    }
+
     /** The port that the program says it listens on; 0 before it does. */
     private int port() {
         Matcher said = Pattern.compile("listens on \\S*:(\\d+)\\s").matcher(log());
@@ -182,9 +188,7 @@
         try (StandIn reader = World.reader();
                 StandIn writer = World.writer();
                 World world = new World().engine("r", "prefill", reader).engine("w", "decode", writer)) {
-            Path config = folder.resolve("config.json");
-            Files.writeString(config, world.config("127.0.0.1:0"));
-            Process gateway = start("ulimit -n " + FEW_DESCRIPTORS + "; " + line("run"), config.toString());
+            Process gateway = startWithFewDescriptors(world);
             List<Socket> silent = new ArrayList<>();
             try {
                 int port = readyPort();
@@ -212,9 +216,7 @@
         });
                 StandIn writer = World.writer();
                 World world = new World().engine("r", "prefill", reader).engine("w", "decode", writer)) {
-            Path config = folder.resolve("config.json");
-            Files.writeString(config, world.config("127.0.0.1:0"));
-            Process gateway = start("ulimit -n " + FEW_DESCRIPTORS + "; " + line("run"), config.toString());
+            Process gateway = startWithFewDescriptors(world);
             List<Socket> silent = new ArrayList<>();
             try {
                 int port = readyPort();
--- a/src/test/java/maplerail/soak/LoadClients.java
+++ b/src/test/java/maplerail/soak/LoadClients.java
@@ -35,7 +35,6 @@
     private final SoakSettings settings;
     private final SplittableRandom random;
     private final ConcurrentLinkedDeque<Socket> idle = new ConcurrentLinkedDeque<>();
-    private final AtomicInteger open = new AtomicInteger();
     private final AtomicInteger quietSent = new AtomicInteger();
     private final AtomicInteger quietServed = new AtomicInteger();
     private volatile boolean quiet;
@@ -55,16 +54,11 @@
                 if (!gateway.takesClients()) continue;
                 double draw = random.nextDouble();
                 int choice = random.nextInt(1 << 20);
-                open.incrementAndGet();
                 boolean counted = quiet;
                 Daemon.start("client", () -> {
-                    try {
-                        if (draw < BAD_SHARE) bad(BAD.get(choice % BAD.size()));
-                        else if (draw < BAD_SHARE + LEAVE_SHARE) one(choice, 20 + choice % 600, false);
-                        else one(choice, 0, counted);
-                    } finally {
-                        open.decrementAndGet();
-                    }
+                    if (draw < BAD_SHARE) bad(BAD.get(choice % BAD.size()));
+                    else if (draw < BAD_SHARE + LEAVE_SHARE) one(choice, 20 + choice % 600, false);
+                    else one(choice, 0, counted);
                 });
             }
         });
@@ -79,10 +73,6 @@
         stopped = true;
     }
 
-    int open() {
-        return open.get();
-    }
-
     /** Of the requests sent in quiet times, the share that was served; 1 if there were too few to tell. */
     double quietServedShare() {
         return quietSent.get() < 5 ? 1 : (double) quietServed.get() / quietSent.get();
