--- a/src/test/java/maplerail/cli/JarIT.java
+++ b/src/test/java/maplerail/cli/JarIT.java
@@ -3,8 +3,6 @@
 import static maplerail.support.World.await;
 import static org.assertj.core.api.Assertions.assertThat;
 
-import java.io.File;
-import java.io.IOException;
 import java.io.InputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -13,8 +11,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
+import maplerail.support.GatewayProgram;
 import maplerail.support.StandIn;
 import maplerail.support.World;
 import org.junit.jupiter.api.Test;
@@ -27,52 +24,21 @@
     @TempDir
     Path folder;
 
-    private static String line(String key) throws Exception {
-        return Files.readAllLines(Path.of("deploy/balancer.toml")).stream().filter(l -> l.startsWith(key + " = "))
-                .map(l -> l.substring(l.indexOf('"') + 1, l.lastIndexOf('"'))).findFirst().orElseThrow();
-    }
+    private GatewayProgram program;
 
     private Process start(String command, String config) throws Exception {
-        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", command);
-        if (config != null) builder.environment().put("RELAY_CONFIG", config);
-        return builder.redirectError(new File(folder.toFile(), "log")).start();
+        program = GatewayProgram.start(folder, command, config == null ? null : Path.of(config));
+        return program.process();
     }
 
     private String log() {
-        try {
-            return Files.readString(folder.resolve("log"));
-        } catch (IOException e) {
-            return "";
-        }
+        return program.log();
     }
 
     private Process startWithFewDescriptors(World world) throws Exception {
         Path config = folder.resolve("config.json");
         Files.writeString(config, world.config("127.0.0.1:0"));
-        return start("ulimit -n " + FEW_DESCRIPTORS + "; " + line("run"), config.toString());
-    }
-
-    /** The port that the program says it listens on; 0 before it does. */
-    private int port() {
-        Matcher said = Pattern.compile("listens on \\S*:(\\d+)\\s").matcher(log());
-        return said.find() ? Integer.parseInt(said.group(1)) : 0;
-    }
-
-    /** Waits until the program is ready, and returns its port. */
-    private int readyPort() throws InterruptedException {
-        await("listening", () -> port() > 0);
-        await("ready", () -> say(port(), "GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n").startsWith("HTTP/1.1 200"));
-        return port();
-    }
-
-    private static String say(int port, String request) {
-        try (Socket socket = new Socket("127.0.0.1", port)) {
-            socket.getOutputStream().write(request.replaceFirst("\r\n", "\r\nConnection: close\r\n")
-                    .getBytes(StandardCharsets.UTF_8));
-            return World.readAll(socket.getInputStream());
-        } catch (IOException e) {
-            return "";
-        }
+        return start("ulimit -n " + FEW_DESCRIPTORS + "; " + GatewayProgram.command("run"), config.toString());
     }
 
     @Test
@@ -86,9 +52,9 @@
             Path config = folder.resolve("config.json");
             Files.writeString(config, world.config("127.0.0.1:0"));
             long startNanos = System.nanoTime();
-            Process gateway = start(line("run"), config.toString());
+            Process gateway = start(GatewayProgram.command("run"), config.toString());
             try {
-                int port = readyPort();
+                int port = program.readyPort();
                 assertThat(System.nanoTime() - startNanos).as("until a restarted one is back")
                         .isLessThan(10_000_000_000L);
                 try (Socket client = new Socket("127.0.0.1", port)) {
@@ -96,7 +62,7 @@
                             .getBytes(StandardCharsets.UTF_8));
                     StandIn.Exchange stream = World.take(streams);
                     gateway.destroy(); // SIGTERM
-                    await("draining", () -> say(port, "GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n").contains(" 503 "));
+                    await("draining", () -> program.say("GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n").contains(" 503 "));
                     stream.chunk("data: [DONE]\n\n");
                     stream.last();
                     InputStream in = client.getInputStream();
@@ -125,11 +91,12 @@
                 World next = new World().engine("r", "prefill", reader).engine("w2", "decode", other)) {
             Path config = folder.resolve("config.json");
             Files.writeString(config, world.config("127.0.0.1:0"));
-            Process gateway = start("RELAY_DISCOVERY=" + world.discovery().address() + " " + line("run"),
+            Process gateway = start(
+                    "RELAY_DISCOVERY=" + world.discovery().address() + " " + GatewayProgram.command("run"),
                     config.toString());
             try {
-                await("listening", () -> port() > 0);
-                try (Socket client = new Socket("127.0.0.1", port())) {
+                await("listening", () -> program.port() > 0);
+                try (Socket client = new Socket("127.0.0.1", program.port())) {
                     client.getOutputStream()
                             .write(World.request("a1", "lookup", "5.0").getBytes(StandardCharsets.UTF_8));
                     StandIn.Exchange stream = World.take(streams);
@@ -167,9 +134,9 @@
                 World next = new World().engine("r", "prefill", reader).engine("w", "decode", writer)) {
             Path config = folder.resolve("config.json");
             Files.writeString(config, world.config("127.0.0.1:0"));
-            Process gateway = start(line("run"), config.toString());
+            Process gateway = start(GatewayProgram.command("run"), config.toString());
             try {
-                await("listening", () -> port() > 0);
+                await("listening", () -> program.port() > 0);
                 Files.writeString(config, next.config("127.0.0.1:0").substring(0, 100));
                 assertThat(new ProcessBuilder("kill", "-HUP", "" + gateway.pid()).start().waitFor()).isZero();
                 await("noticed", () -> log().contains("the new configuration is not used"));
@@ -191,13 +158,13 @@
             Process gateway = startWithFewDescriptors(world);
             List<Socket> silent = new ArrayList<>();
             try {
-                int port = readyPort();
+                int port = program.readyPort();
                 for (int i = 0; i < 2 * FEW_DESCRIPTORS; i++) silent.add(new Socket("127.0.0.1", port));
                 // The gateway ends those that say nothing, which gives it descriptors again.
                 assertThat(silent.get(0).getInputStream().read()).isNegative();
                 for (Socket socket : silent) socket.close();
                 long freeNanos = System.nanoTime();
-                assertThat(say(port, World.request("a1", "lookup", "5.0"))).contains("[DONE]");
+                assertThat(program.say(World.request("a1", "lookup", "5.0"))).contains("[DONE]");
                 assertThat(System.nanoTime() - freeNanos).as("until a client is served").isLessThan(1_000_000_000L);
             } finally {
                 gateway.destroyForcibly();
@@ -219,10 +186,10 @@
             Process gateway = startWithFewDescriptors(world);
             List<Socket> silent = new ArrayList<>();
             try {
-                int port = readyPort();
+                int port = program.readyPort();
                 for (int i = 0; i < FEW_DESCRIPTORS; i++) silent.add(new Socket("127.0.0.1", port));
                 long sentNanos = System.nanoTime();
-                assertThat(say(port, World.request("a1", "lookup", "9.0"))).contains("[DONE]");
+                assertThat(program.say(World.request("a1", "lookup", "9.0"))).contains("[DONE]");
                 double waitedAtMost = (System.nanoTime() - sentNanos) / 1e9;
                 assertThat(waitedAtMost).as("it waited in the backlog").isGreaterThan(1);
                 // Some of that time was spent after it was passed on, on a machine that may be busy.
@@ -236,7 +203,7 @@
 
     @Test
     void theAdapterAnswersAnEmptyBatchAndEndsWithItsInput() throws Exception {
-        Process adapter = start(line("sim"), null);
+        Process adapter = start(GatewayProgram.command("sim"), null);
         adapter.getOutputStream().write(new byte[16]);
         adapter.getOutputStream().close();
         assertThat(adapter.getInputStream().readAllBytes()).isEqualTo(new byte[8]);
@@ -246,7 +213,8 @@
     @Test
     void theBuildRecordsTheClassesFromWhichTheProgramStarts() throws Exception {
         Process version = start(
-                line("run").replaceFirst("-XX:SharedArchiveFile", "-Xshare:on $0").replace("-Xshare:auto", "")
+                GatewayProgram.command("run").replaceFirst("-XX:SharedArchiveFile", "-Xshare:on $0")
+                        .replace("-Xshare:auto", "")
                         .replaceFirst("serve$", "version"),
                 null);
         assertThat(version.waitFor()).isZero();
@@ -256,7 +224,7 @@
     void badConfigurationEndsItWith2() throws Exception {
         Path config = folder.resolve("config.json");
         Files.writeString(config, "{}");
-        Process gateway = start(line("run"), config.toString());
+        Process gateway = start(GatewayProgram.command("run"), config.toString());
         assertThat(gateway.waitFor()).isEqualTo(2);
         assertThat(Files.readString(folder.resolve("log"))).contains("config.settings: missing");
     }
--- a/src/test/java/maplerail/support/World.java
+++ b/src/test/java/maplerail/support/World.java
@@ -64,9 +64,14 @@
         return engine(host, kind, at, "in_service");
     }
 
-    public synchronized World engine(String host, String kind, StandIn at, String health) {
+    public World engine(String host, String kind, StandIn at, String health) {
+        return engine(host, kind, at.address(), health);
+    }
+
+    /** Lists an engine at an address, whether or not anything is there. */
+    public synchronized World engine(String host, String kind, String address, String health) {
         hosts.put(host,
-                "{\"host\":\"" + host + "\",\"dial\":\"" + at.address() + "\",\"site\":\"caerdydd\",\"class\":\""
+                "{\"host\":\"" + host + "\",\"dial\":\"" + address + "\",\"site\":\"caerdydd\",\"class\":\""
                         + kind + "\",\"block\":1,\"health\":\"" + health + "\",\"share\":1.0,\"born_ms\":0}");
         version++;
         notifyAll();
