--- /dev/null
+++ b/src/test/java/maplerail/cli/HeldStateIT.java
@@ -0,0 +1,120 @@
+package maplerail.cli;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import maplerail.support.FullBacklog;
+import maplerail.support.GatewayProgram;
+import maplerail.support.StandIn;
+import maplerail.support.StoppableEngine;
+import maplerail.support.World;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/**
+ * A real gateway process beside readers and writers whose processes stop. The system of a stopped process goes on taking
+ * connections and bytes: a write that it has is not out, and the state that it was to fetch must be let go in time.
+ */
+class HeldStateIT {
+    private static final double LIMIT_MS = 500 + 300; // of the settings, and what the rules on sockets add
+    private static final int WARM_REQUESTS = 6;
+
+    @TempDir
+    Path folder;
+
+    private final Map<String, Double> heldMs = new ConcurrentHashMap<>();
+    private final Map<String, Double> releasedMs = new ConcurrentHashMap<>();
+
+    private static double nowMs() {
+        return System.nanoTime() / 1e6;
+    }
+
+    /** A reader that notes since when it holds a state, and when it is first told to let go. */
+    private StandIn reader() throws Exception {
+        return new StandIn(exchange -> {
+            if (exchange.method.equals("DELETE")) {
+                releasedMs.putIfAbsent(exchange.target.replaceFirst(".*/", ""), nowMs());
+                exchange.reply(204, "");
+                return;
+            }
+            heldMs.put(exchange.headers.get("req-id"), nowMs());
+            exchange.reply(202, "{\"cached_tokens\":0}");
+        });
+    }
+
+    private static StoppableEngine writer(int firstTokenMs) throws Exception {
+        return new StoppableEngine(exchange -> {
+            if (exchange.method.equals("DELETE")) {
+                exchange.reply(204, "");
+                return;
+            }
+            TimeUnit.MILLISECONDS.sleep(firstTokenMs);
+            exchange.stream();
+            exchange.chunk("data: [DONE]\n\n");
+            exchange.last();
+        });
+    }
+
+    private static World world(StandIn reader, String... writers) throws Exception {
+        World world = new World().engine("r", "prefill", reader);
+        for (int i = 0; i < writers.length; i++) world.engine("w" + i, "decode", writers[i], "in_service");
+        return world;
+    }
+
+    private void assertLetGoInTime(String id) {
+        assertThat(heldMs).as("states held").containsKey(id);
+        assertThat(releasedMs).as("states let go").containsKey(id);
+        assertThat(releasedMs.get(id) - heldMs.get(id)).as("time for which a state was held").isLessThan(LIMIT_MS);
+    }
+
+    /** Its connection comes up in the system's queue, and proves nothing. */
+    @Test
+    void aStateIsLetGoInTimeThoughANewConnectionToItsStoppedWriterCameUp() throws Exception {
+        try (StandIn reader = reader();
+                StoppableEngine writer = writer(0);
+                World world = world(reader, writer.address());
+                GatewayProgram gateway = GatewayProgram.serve(folder, world.config("127.0.0.1:0"))) {
+            gateway.readyPort();
+            writer.stop();
+            gateway.say(World.request("a1", "repair-order", "1.5"));
+            assertLetGoInTime("a1");
+        }
+    }
+
+    /** The usual wait for a first token must not put off the release past the limit. */
+    @Test
+    void aStateIsLetGoInTimeThoughWritersUsuallyTakeLong() throws Exception {
+        try (StandIn reader = reader();
+                StoppableEngine writer = writer(300);
+                World world = world(reader, writer.address());
+                GatewayProgram gateway = GatewayProgram.serve(folder, world.config("127.0.0.1:0"))) {
+            gateway.readyPort();
+            for (int i = 0; i < WARM_REQUESTS; i++) {
+                assertThat(gateway.say(World.request("warm" + i, "repair-order", "5.0"))).contains("[DONE]");
+            }
+            writer.stop();
+            gateway.say(World.request("a1", "repair-order", "1.5"));
+            assertLetGoInTime("a1");
+        }
+    }
+
+    /** Its time runs while connections to one writer do not come up and while another has bytes and does not run. */
+    @Test
+    void aStateIsLetGoInTimeThoughItsRequestGoesFromWriterToWriter() throws Exception {
+        try (StandIn reader = reader();
+                FullBacklog outOfReach = new FullBacklog();
+                StoppableEngine one = writer(0);
+                StoppableEngine other = writer(0);
+                World world = world(reader, outOfReach.address(), one.address(), other.address());
+                GatewayProgram gateway = GatewayProgram.serve(folder, world.config("127.0.0.1:0"))) {
+            gateway.readyPort();
+            one.stop();
+            other.stop();
+            for (int i = 0; i < WARM_REQUESTS; i++) gateway.say(World.request("a" + i, "lookup", "2.0"));
+            for (int i = 0; i < WARM_REQUESTS; i++) assertLetGoInTime("a" + i);
+        }
+    }
+}
