Move the tables of prefixes and arrivals out of Logic into policy classes of their own

PrefixTable and ArrivalCounts hold what Logic kept in maps of deques and of bare arrays; key 0, ages, bounds and fading are as before. Behaviour does not change.

--- a/src/main/java/maplerail/Logic.java
+++ b/src/main/java/maplerail/Logic.java
@@ -1,6 +1,5 @@
 package maplerail;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
@@ -8,14 +7,14 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
-import java.util.Objects;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.function.Function;
 import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
-import java.util.stream.Stream;
+import maplerail.policy.ArrivalCounts;
 import maplerail.policy.EngineClock;
+import maplerail.policy.PrefixTable;
 import maplerail.policy.ProtocolRules;
 import maplerail.policy.ProtocolRules.Reason;
 import maplerail.policy.Rendezvous;
@@ -34,7 +33,6 @@
     private static final double OUTPUT_WEIGHT = 2, OUTPUT_SHARE = 0.5; // in the deficit; of the maximum
     private static final double ENTRY_AGE = 20_000; // ms that a locality entry is believed (design)
     private static final double KEPT_SHARE = 0.5; // an entry drops when an answer finds less kept (design)
-    private static final int MAX_KEYS = 20_000, MAX_HOLDERS = 8; // bounds on the tables, far above what lives
     private static final double READ_OVERHEAD = 300; // tokens; a read's fixed cost: a step, messages
     private static final double HISTORY = 0.8; // of a prompt, held to be kept at its session's home
     private static final double HOME_SPREAD = 2, HOME_PRIOR = 8; // homes a reader's worth; arrivals assumed
@@ -201,17 +199,15 @@
         }
     }
 
-    private record CachedPrefix(Engine engine, double tokens, double atMs) {}
-
     private final Settings settings;
     private final SplittableRandom random;
     private final EngineClock engineClock;
     private final TreeMap<Long, Engine> engines = new TreeMap<>();
     private final Map<Long, Request> requests = new LinkedHashMap<>();
-    private final Map<Long, ArrayDeque<CachedPrefix>> sessions = new LinkedHashMap<>();
-    private final Map<Long, ArrayDeque<CachedPrefix>> prefixes = new LinkedHashMap<>();
-    /** How many of the arrivals of late had each beginning, fading; 0 stands for all. */
-    private final Map<Long, double[]> arrivals = new LinkedHashMap<>();
+    private final PrefixTable<Engine> sessions = new PrefixTable<>(ENTRY_AGE);
+    private final PrefixTable<Engine> prefixes = new PrefixTable<>(ENTRY_AGE);
+    /** Arrivals of late with each beginning; key 0 stands for all. */
+    private final ArrivalCounts arrivals = new ArrivalCounts(ENTRY_AGE);
     private final Map<Role, RoleStats> usual = new TreeMap<>();
     /** Of each role, answers a millisecond and when that was so; it fades. */
     private final Map<Role, double[]> answers = new TreeMap<>();
@@ -307,10 +303,10 @@
             giveUp(request, EndReason.DEADLINE);
             return;
         }
-        countArrival(0);
-        if (arrival.prefix() != 0) countArrival(arrival.prefix());
+        arrivals.add(0, now);
+        if (arrival.prefix() != 0) arrivals.add(arrival.prefix(), now);
         // A fleet of nodes that each see little must not have saved up more retries than its arrivals allow.
-        double burst = Math.min(RETRY_BURST, Math.max(1, RETRY_SHARE * seenOf(0)));
+        double burst = Math.min(RETRY_BURST, Math.max(1, RETRY_SHARE * arrivals.of(0, now)));
         retryTokens = Math.min(burst, retryTokens + RETRY_SHARE);
         setTimer(arrival.id(), 0, TimerKind.DEADLINE, lastMoment(request));
         if (overloaded(request)) giveUp(request, EndReason.OVERLOAD);
@@ -459,10 +455,11 @@
         boolean most = request.asked.promptTokens() > 2 * request.asked.prefixTokens();
         boolean history = most && request.asked.session() != 0;
         long key = history ? request.asked.session() : request.asked.prefix();
-        double seen = seenOf(key);
+        double seen = arrivals.of(key, now);
         // Without the present arrival, which would make every beginning hot at a node that sees little.
         double before = Math.max(0, seen - 1);
-        double count = history ? 1 : Math.ceil(HOME_SPREAD * able.size() * before / (seenOf(0) + HOME_PRIOR));
+        double share = before / (arrivals.of(0, now) + HOME_PRIOR);
+        double count = history ? 1 : Math.ceil(HOME_SPREAD * able.size() * share);
         List<Engine> homes = key == 0 ? List.of() : able.stream()
                 .sorted(Comparator.comparingLong(e -> weight(key, e))).limit((long) Math.max(1, count))
                 .toList();
@@ -473,57 +470,25 @@
         return longest > 0 ? able.stream().filter(e -> matchedTokens(request, e) >= longest).toList() : homes;
     }
 
-    /** Arrivals with a beginning within the ageing time, about; 0 stands for all. */
-    private double seenOf(long key) {
-        double[] known = arrivals.get(key);
-        return known == null ? 0 : known[0] * Math.exp((known[1] - now) / ENTRY_AGE);
-    }
-
-    private void countArrival(long key) {
-        double seen = seenOf(key) + 1;
-        arrivals.remove(key);
-        arrivals.put(key, new double[] {seen, now});
-        if (arrivals.size() > MAX_KEYS) arrivals.remove(arrivals.keySet().iterator().next());
-    }
-
     private static long weight(long key, Engine engine) {
         return Rendezvous.weight(key, engine.id);
     }
 
     private double matchedTokens(Request request, Engine engine) {
-        double session = heldTokens(sessions, request.asked.session(), engine);
-        double prefix = heldTokens(prefixes, request.asked.prefix(), engine);
+        double session = sessions.heldTokens(request.asked.session(), engine, now);
+        double prefix = prefixes.heldTokens(request.asked.prefix(), engine, now);
         if (request.homes.contains(engine)) prefix = Math.max(prefix, request.assumed);
         return Math.min(Math.max(session, prefix), request.asked.promptTokens());
     }
 
-    private double heldTokens(Map<Long, ArrayDeque<CachedPrefix>> table, long key, Engine engine) {
-        ArrayDeque<CachedPrefix> cached = key == 0 ? null : table.get(key);
-        if (cached == null) return 0;
-        for (CachedPrefix h : cached) {
-            if (h.engine() == engine && h.atMs() > now - ENTRY_AGE) return h.tokens();
-        }
-        return 0;
-    }
-
     private void learn(Request request, Engine reader) {
-        put(sessions, request.asked.session(), reader, request.asked.promptTokens());
-        put(prefixes, request.asked.prefix(), reader, request.asked.prefixTokens());
-    }
-
-    private void put(Map<Long, ArrayDeque<CachedPrefix>> table, long key, Engine engine, double tokens) {
-        if (key == 0 || !(tokens > 0)) return;
-        ArrayDeque<CachedPrefix> cached = Objects.requireNonNullElseGet(table.remove(key), ArrayDeque::new);
-        table.put(key, cached);
-        if (table.size() > MAX_KEYS) table.remove(table.keySet().iterator().next());
-        cached.removeIf(h -> h.engine() == engine || h.atMs() <= now - ENTRY_AGE);
-        cached.addLast(new CachedPrefix(engine, tokens, now));
-        if (cached.size() > MAX_HOLDERS) cached.removeFirst();
+        sessions.put(request.asked.session(), reader, request.asked.promptTokens(), now);
+        prefixes.put(request.asked.prefix(), reader, request.asked.prefixTokens(), now);
     }
 
     private void drop(Request request, Engine engine) {
-        Stream.of(sessions.get(request.asked.session()), prefixes.get(request.asked.prefix()))
-                .filter(Objects::nonNull).forEach(cached -> cached.removeIf(h -> h.engine() == engine));
+        sessions.drop(request.asked.session(), engine);
+        prefixes.drop(request.asked.prefix(), engine);
     }
 
     // ---- Writer: lowest projected memory, chosen when the read has ended ----
