Let a held state go at the end of a lease that only an engine's answer renews

Cause: code, run-time check and soak took an attempt whose bytes had left this process for out. LostSendRule was off once three times the usual wait reached past the limit, a connection that had just come up passed for proof of arrival (Call.provenAlive), the end of a write that was never heard began the state's time anew (Logic.onEnded, RequestRegistry.checkHeld), and the module was not told that the core had let a state go, so it spent an attempt on a 410. A writer that found no state counted as failed, so the next choice was the silent one.

Change: StateLease begins when the reader says so and is renewed by answers of engines alone. The module sets its timer for each write and orders Reclaim; HeldStates in the core lets go at the end of the lease whatever the module does, and says in the log what each attempt did. Releases are tried on a further connection after 60 ms while the first is still out (ReleaseCall), and the exit waits up to 800 ms for those under way.

LostWriteTest held that a connection which just came up, and writers that usually take long, keep a state past its limit: that was the fault, and both are replaced by tests of the limit. FailoverTest allowed the limit and one more attempt; it now allows the limit.

--- a/src/main/java/maplerail/Logic.java
+++ b/src/main/java/maplerail/Logic.java
@@ -19,6 +19,7 @@
 import maplerail.policy.ProtocolRules.Reason;
 import maplerail.policy.Rendezvous;
 import maplerail.policy.RequestState;
+import maplerail.policy.StateLease;
 
 /**
  * Every decision of a node. Its events, actions and settings are in {@link Router} (Router.java).
@@ -69,7 +70,7 @@
 
     /** What a timer is for; its place is the low part of the token. */
     private enum TimerKind {
-        DEADLINE, RESELECT, PINNED, OVERDUE, ASK
+        DEADLINE, RESELECT, LEASE, OVERDUE, ASK
     }
 
     /** A mean of recent samples and the weight that they still have. */
@@ -171,10 +172,11 @@
         /** Worth for each unit of work, lowered where it is over its tenant's share. */
         double worth;
         int out;
-        /** The reader whose state waits, whether any may be held, and since when it counts as pinned. */
+        /** The reader whose state waits, whether any may be held, and for how long it may be. */
         Engine holder;
         boolean held;
-        double heldMs, firstMs;
+        StateLease lease;
+        double firstMs;
         /** The first attempt that may have run, for the repeat rules. */
         Attempt mayHaveRun;
 
@@ -333,12 +335,13 @@
         if (attempt == null) return;
         Request request = attempt.request;
         attempt.ended = true;
-        attempt.failed = ended.outcome() != Outcome.READ && ended.outcome() != Outcome.SERVED;
+        // A state that is gone says nothing against the writer that looked for it.
+        attempt.failed = ended.outcome() != Outcome.READ && ended.outcome() != Outcome.SERVED
+                && ended.outcome() != Outcome.STATE_GONE;
         attempt.unreachable = ended.outcome() == Outcome.UNREACHABLE;
         request.out--;
-        // What never reached its engine took nothing: the time of what is held runs on.
-        if (!neverCame(ended.outcome())) request.heldMs = now;
-        request.held |= ended.outcome() == Outcome.READ;
+        if (request.held) request.lease.attemptEnded(ended.outcome(), now);
+        if (ended.outcome() == Outcome.READ) hold(request);
         account(attempt, ended);
         recordOutcome(attempt, ended);
         if (request.phase == Phase.DONE) cleanUp(request);
@@ -347,6 +350,11 @@
         else onFailure(request, attempt, ended.outcome());
     }
 
+    private void hold(Request request) {
+        request.held = true;
+        request.lease = new StateLease(settings.rules().pinLimitMs(), now);
+    }
+
     private void onTimer(long token) {
         TimerKind alarm = TimerKind.values()[(int) (token & 15)];
         Request request = requests.get(token >>> 12);
@@ -357,7 +365,7 @@
         if (request == null) return;
         if (alarm == TimerKind.DEADLINE) giveUp(request, EndReason.DEADLINE);
         if (alarm == TimerKind.RESELECT) reselect(request);
-        if (alarm == TimerKind.PINNED) pinned(request);
+        if (alarm == TimerKind.LEASE) leaseEnds(request, (int) (token >>> 4 & 255));
         if (alarm == TimerKind.OVERDUE) overdue(request, (int) (token >>> 4 & 255));
     }
 
@@ -458,8 +466,8 @@
         double seen = arrivals.of(key, now);
         // Without the present arrival, which would make every beginning hot at a node that sees little.
         double before = Math.max(0, seen - 1);
-        double share = before / (arrivals.of(0, now) + HOME_PRIOR);
-        double count = history ? 1 : Math.ceil(HOME_SPREAD * able.size() * share);
+        double spread = HOME_SPREAD * able.size() * before;
+        double count = history ? 1 : Math.ceil(spread / (arrivals.of(0, now) + HOME_PRIOR));
         List<Engine> homes = key == 0 ? List.of() : able.stream()
                 .sorted(Comparator.comparingLong(e -> weight(key, e))).limit((long) Math.max(1, count))
                 .toList();
@@ -726,6 +734,8 @@
         if (engine.role != Role.READ && request.mayHaveRun == null) request.mayHaveRun = attempt;
         actions.add(new Send(request.asked.id(), engine.id, request.deadlineMs, startByMs));
         setTimer(request.asked.id(), attempt.number, TimerKind.OVERDUE, now + patience(attempt));
+        if (!read && request.holder != null)
+            setTimer(request.asked.id(), attempt.number, TimerKind.LEASE, doubtMs(request, engine));
         return true;
     }
 
@@ -838,27 +848,26 @@
         if (now >= repeatUntilMs(request)) giveUp(request, EndReason.MAY_HAVE_RUN);
         else if (spent) giveUp(request, EndReason.ATTEMPTS_SPENT);
         else if (lastMoment(request) <= now) giveUp(request, EndReason.DEADLINE);
-        else if (request.holder == null) read(request, not);
-        else if (!neverCame(outcome) || now < pinnedMs(request)) write(request, attempt.engine);
-        else readAnew(request);
-    }
-
-    private static boolean neverCame(Outcome outcome) {
-        return outcome == Outcome.UNREACHABLE || outcome == Outcome.NOT_SENT;
+        else if (request.holder == null) readAnew(request, not);
+        else if (now >= leaseEndMs(request)) readAnew(request, null);
+        else write(request, attempt.engine);
     }
 
-    /** Writers out of reach used up the state's time: let it go; its reader keeps the prompt's tokens. */
-    private void readAnew(Request request) {
-        actions.add(new Release(request.asked.id()));
+    /**
+     * A writer could not get the state, though its reader may hold it still, or silent writers used up its
+     * time: let it go. Its reader keeps the prompt's tokens.
+     */
+    private void readAnew(Request request, Engine not) {
+        if (request.held) actions.add(new Release(request.asked.id()));
         request.held = false;
         request.holder = null;
-        read(request, null);
+        read(request, not);
     }
 
     /** No engine can be sent to now: look again soon, within what the pin rule allows. */
     private void wait(Request request) {
         int attempts = request.attempts.size();
-        if (request.held) setTimer(request.asked.id(), attempts, TimerKind.PINNED, pinnedMs(request));
+        if (request.held) setTimer(request.asked.id(), attempts, TimerKind.LEASE, leaseEndMs(request));
         setTimer(request.asked.id(), 0, TimerKind.RESELECT, now + RESELECT_MS);
     }
 
@@ -869,14 +878,32 @@
         if (request.phase == Phase.READING) read(request, null);
     }
 
-    /** The state has waited as long as the rule allows: let it go and end the request. */
-    private void pinned(Request request) {
-        boolean held = request.held && request.out == 0 && request.phase != Phase.DONE;
-        if (held && now >= pinnedMs(request)) giveUp(request, EndReason.STATE_HELD_TOO_LONG);
+    /** The time of a state is over or nearly so: it waits, or the write that was sent for it is silent. */
+    private void leaseEnds(Request request, int number) {
+        boolean over = request.phase == Phase.DONE || request.phase == Phase.STREAMING;
+        if (over || !request.held || request.holder == null) return;
+        if (request.out == 0) {
+            if (now >= leaseEndMs(request)) giveUp(request, EndReason.STATE_HELD_TOO_LONG);
+            return;
+        }
+        Attempt write = number < request.attempts.size() ? request.attempts.get(number) : null;
+        if (write == null || write.ended || write.cancelled || write.read) return;
+        // It may be held still: what a running writer waits for is let go only once that write has ended.
+        actions.add(new Reclaim(request.asked.id()));
+        request.holder = null;
+    }
+
+    /**
+     * Until when a silent write has its state held for it. One that may be repeated may be called off before,
+     * as overdue, and its state goes to another writer; for unsafe work nothing is left to be done with it.
+     */
+    private double doubtMs(Request request, Engine writer) {
+        if (request.kind.repeat() != Repeat.UNSAFE) return leaseEndMs(request);
+        return request.lease.doubtMs(now, usual(writer).waitMs, margin());
     }
 
-    private double pinnedMs(Request request) {
-        return request.heldMs + settings.rules().pinLimitMs() - margin();
+    private double leaseEndMs(Request request) {
+        return request.lease.expiresMs() - margin();
     }
 
     private double margin() {
--- a/src/main/java/maplerail/Router.java
+++ b/src/main/java/maplerail/Router.java
@@ -73,7 +73,7 @@
     record Timer(long token) implements Event {}
 
     /** Something to do. */
-    sealed interface Action permits Send, Cancel, Release, Refuse, Fail, SetTimer, Subscribe, FetchList, Log {}
+    sealed interface Action permits Send, Cancel, Release, Reclaim, Refuse, Fail, SetTimer, Subscribe, FetchList, Log {}
 
     /**
      * Make an attempt, which times out at {@code untilMs} and must not begin after {@code startByMs}; attempts of a
@@ -92,6 +92,9 @@
     /** Let go of what engines hold for the request and no attempt waits for. */
     record Release(long id) implements Action {}
 
+    /** Let go of the state that a reader holds, though a write is out: it was not heard and may not have arrived. */
+    record Reclaim(long id) implements Action {}
+
     /** Why the module ends a request that nobody served. */
     enum EndReason {
         /** Its class is not one of the settings'. */
--- a/src/main/java/maplerail/cli/Gateway.java
+++ b/src/main/java/maplerail/cli/Gateway.java
@@ -44,6 +44,8 @@
     private static final Logger LOG = LoggerFactory.getLogger(Gateway.class);
     private static final double ARRIVING_MS = 600; // after the signal to stop, that connections may arrive for
     private static final double LOOK_MS = 20;
+    /** For which the exit waits for releases: as long as a state may be held, with the slack of the rules on sockets. */
+    private static final double LAST_RELEASES_MS = 800;
     private static final double CONFIRM_MS = 500; // for the agent on this machine to say what has changed
     /**
      * In pin limits, in which a head or a chunk of an answer must end once it has begun. A reader whose answer is
@@ -248,9 +250,21 @@
             return;
         }
         if (rpc != null) rpc.close();
+        // As the exit would: nobody gets in any more, and nobody is left.
+        IoUtils.safeClose(server, rpcServer);
+        listeners.forEach(ClientListener::close);
+        lastReleases(loop.nowMs() + LAST_RELEASES_MS);
+    }
+
+    /** Lets releases that are under way reach their engines: what a gateway that is gone holds, nobody lets go. */
+    private void lastReleases(double untilMs) {
+        if (broker.unfinishedReleases() > 0 && loop.nowMs() < untilMs) {
+            loop.at(loop.nowMs() + LOOK_MS, () -> lastReleases(untilMs));
+            return;
+        }
         lifecycle.move(Phase.STOPPED);
         broker.counters().tell();
-        LOG.info("drained");
+        LOG.info("drained; releases not answered: {}", broker.unfinishedReleases());
         stopped.countDown();
     }
 
--- a/src/main/java/maplerail/core/ActiveRequest.java
+++ b/src/main/java/maplerail/core/ActiveRequest.java
@@ -9,6 +9,7 @@
 import maplerail.Router;
 import maplerail.policy.ProtocolRules;
 import maplerail.policy.RequestState;
+import maplerail.policy.StateLease;
 
 /** A request that is open: its attempts, its answer and what engines may hold for it. */
 final class ActiveRequest {
@@ -17,9 +18,9 @@
     final Caller caller;
     final double deadlineMs;
     final List<Attempt> attempts = new ArrayList<>();
-    /** Engines at which a state may wait, and those of them that said so. */
+    /** Engines at which a state may wait, and the leases of those that said so. */
     final Set<Long> mayHold = new LinkedHashSet<>();
-    final Set<Long> holds = new LinkedHashSet<>();
+    final Map<Long, StateLease> holds = new LinkedHashMap<>();
     boolean admitted;
     boolean answered;
     /** When a read was last cut off or broke at an engine, which may read on and hold a state in the end. */
@@ -54,6 +55,28 @@
         return attempts.stream().anyMatch(attempt -> !attempt.ended && attempt.engine == engine);
     }
 
+    /** True while an attempt is out whose answer has begun to come. */
+    boolean answerBegun() {
+        return attempts.stream().anyMatch(attempt -> !attempt.ended && attempt.sending != null
+                && (attempt.heardMs > 0 || attempt.sending.answerBegun()));
+    }
+
+    /** Each attempt with engine, start, outcome and length, and how far one that is out has come; for the log. */
+    String history(double nowMs) {
+        double takenMs = deadlineMs - request.budgetMs();
+        StringBuilder line = new StringBuilder();
+        for (Attempt attempt : attempts) {
+            line.append(attempt.reader ? " read " : " write ").append(Long.toHexString(attempt.engine)).append(" at ")
+                    .append(Math.round(attempt.sentMs - takenMs)).append(' ')
+                    .append(attempt.outcome == null ? "out" : attempt.outcome).append(" in ")
+                    .append(Math.round((attempt.ended ? attempt.endedMs : nowMs) - attempt.sentMs));
+            if (!attempt.reader && attempt.sending != null)
+                line.append(" (").append(attempt.sending.trace()).append(')');
+            line.append(';');
+        }
+        return line.toString();
+    }
+
     /** One attempt. */
     static final class Attempt {
         final ActiveRequest active;
--- a/src/main/java/maplerail/core/AttemptRunner.java
+++ b/src/main/java/maplerail/core/AttemptRunner.java
@@ -22,7 +22,7 @@
     private final RequestRegistry registry;
     private final Relay relay;
     private final Router.Settings settings;
-    private final LostWriteWatch lostWrites;
+    private final HeldStates held;
     private final RepeatLog repeats;
     private final RuleMonitor monitor;
     private final ServiceCounters counters;
@@ -31,7 +31,7 @@
     private DecisionLoop decisions;
     private Consumer<ActiveRequest> gone;
 
-    AttemptRunner(Engines engines, Loop loop, Fleet fleet, RequestRegistry registry, Relay relay,
+    AttemptRunner(Engines engines, Loop loop, Fleet fleet, RequestRegistry registry, HeldStates held, Relay relay,
             Router.Settings settings, RuleMonitor monitor, ServiceCounters counters,
             Consumer<String> log) {
         this.engines = engines;
@@ -40,7 +40,7 @@
         this.registry = registry;
         this.relay = relay;
         this.settings = settings;
-        this.lostWrites = new LostWriteWatch(loop, registry, settings.rules().pinLimitMs(), counters, log);
+        this.held = held;
         this.repeats = new RepeatLog(settings.classes(), counters, log);
         this.monitor = monitor;
         this.counters = counters;
@@ -86,7 +86,6 @@
                         AttemptRunner.this.ended(attempt, outcome, kept);
                     }
                 });
-        lostWrites.watch(attempt);
         if (order.startByMs() < until) loop.at(order.startByMs(), () -> withdraw(attempt));
     }
 
@@ -136,16 +135,13 @@
             return;
         }
         ActiveRequest active = attempt.active;
-        if (attempt.heardMs == 0) lostWrites.answered(attempt);
         attempt.heardMs = loop.nowMs();
         if (active.winner == null && !active.answered) {
             active.winner = attempt;
             attempt.timeout.cancel();
             watch(attempt, STALL_MS);
             active.guard.cancel();
-            // What is held goes with the first token, but not what a reader that was cut off holds later.
-            active.mayHold.retainAll(active.cutReadsMs.keySet());
-            active.holds.clear();
+            held.taken(active);
             decisions.tell(new Router.FirstToken(active.number, attempt.number, attempt.engine,
                     loop.nowMs() - attempt.sentMs));
         }
@@ -209,9 +205,7 @@
         attempt.timeout.cancel();
         double untilMs = loop.nowMs() + LINGER_MS;
         attempt.timeout = loop.at(untilMs, () -> cut(attempt, Outcome.CANCELLED));
-        for (long engine : List.copyOf(active.holds)) {
-            engines.release(engine, active.request.id(), untilMs, () -> cut(attempt, Outcome.CANCELLED));
-        }
+        held.releaseWhileOut(active, untilMs, () -> cut(attempt, Outcome.CANCELLED));
     }
 
     /** What has not left this machine must not follow the news that its engine wants nothing more. */
@@ -257,10 +251,11 @@
         touched.add(attempt.active);
         if (attempt.timeout != null) attempt.timeout.cancel();
         ActiveRequest active = attempt.active;
-        boolean read = outcome == Outcome.READ;
-        if (read) active.holds.add(attempt.engine);
+        // An answer that is not believed proves nothing.
+        if (outcome == told) held.attemptEnded(active, outcome);
+        if (outcome == Outcome.READ) held.granted(active, attempt.engine);
         // A read that was cut off may have ended well just then.
-        if (read || attempt.reader && !outcome.neverRan) active.mayHold.add(attempt.engine);
+        if (attempt.reader && !outcome.neverRan) active.mayHold.add(attempt.engine);
         // So may one whose connection broke: nobody has told its reader to stop.
         if (attempt.reader && outcome == Outcome.RESET) active.cutReadsMs.put(attempt.engine, loop.nowMs());
         // An answer may be whole without an event; it is the caller's all the same.
--- a/src/main/java/maplerail/core/Broker.java
+++ b/src/main/java/maplerail/core/Broker.java
@@ -18,6 +18,7 @@
     private final Loop loop;
     private final Fleet fleet;
     private final RequestRegistry registry;
+    private final HeldStates held;
     private final Admission admission;
     private final Quotas quotas;
     private final DecisionLoop decisions;
@@ -39,11 +40,12 @@
         monitor = new RuleMonitor(loop, counters, log);
         fleet = new Fleet(settings.kinds());
         this.quotas = quotas;
-        registry = new RequestRegistry(engines, loop, quotas, settings.rules(), monitor);
+        held = new HeldStates(engines, loop, settings.rules().pinLimitMs(), monitor, counters, log);
+        registry = new RequestRegistry(held, loop, quotas, settings.rules(), monitor);
         admission = new Admission(loop, registry);
         failureLog = new FailureLog(loop, log);
         relay = new Relay(registry, loop, failureLog, counters);
-        runner = new AttemptRunner(engines, loop, fleet, registry, relay, settings, monitor, counters, log);
+        runner = new AttemptRunner(engines, loop, fleet, registry, held, relay, settings, monitor, counters, log);
         decisions = new DecisionLoop(router, loop, this::perform, runner::settle, log);
         runner.use(decisions, this::gone);
     }
@@ -105,10 +107,16 @@
         return registry.size();
     }
 
+    /** Releases that have not been answered or are still to be sent, of requests that may be over. */
+    public int unfinishedReleases() {
+        return held.unfinished();
+    }
+
     private void perform(Router.Action action) {
         if (action instanceof Router.Send order) runner.attempt(order);
         else if (action instanceof Router.Cancel order) runner.cancel(order);
-        else if (action instanceof Router.Release order) release(order.id());
+        else if (action instanceof Router.Release order) withRequest(order.id(), held::release);
+        else if (action instanceof Router.Reclaim order) withRequest(order.id(), held::reclaim);
         else if (action instanceof Router.Refuse refuse) refuse(refuse);
         else if (action instanceof Router.Fail fail) fail(fail.id(), Why.ENGINE, fail.why());
         else if (action instanceof Router.SetTimer timer) {
@@ -117,9 +125,9 @@
         // Subscribe and FetchList need nothing: the list is always watched.
     }
 
-    private void release(long number) {
+    private void withRequest(long number, Consumer<ActiveRequest> act) {
         ActiveRequest active = registry.find(number);
-        if (active != null) registry.release(active);
+        if (active != null) act.accept(active);
     }
 
     private void refuse(Router.Refuse order) {
--- a/src/main/java/maplerail/core/Engines.java
+++ b/src/main/java/maplerail/core/Engines.java
@@ -1,6 +1,7 @@
 package maplerail.core;
 
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import maplerail.Router;
 
 /** The port through which attempts go out. It must never make an attempt twice on its own. */
@@ -11,8 +12,11 @@
      */
     Sending send(long engine, ServiceRequest request, double untilMs, BooleanSupplier mayBegin, Answer answer);
 
-    /** Lets go of what an engine holds for a request, trying again up to a time; tells once if the engine answers. */
-    void release(long engine, String id, double untilMs, Runnable answered);
+    /** Lets go of what an engine holds for a request, trying again up to a time; tells once how that ended. */
+    void release(long engine, String id, double untilMs, Consumer<ReleaseResult> ended);
+
+    /** How a release ended: whether the engine answered, after how many tries and how long. */
+    record ReleaseResult(boolean answered, int tries, double tookMs) {}
 
     /** An attempt on its way. */
     interface Sending {
@@ -24,9 +28,9 @@
         /** True while not a byte of it has gone out. */
         boolean unsent();
 
-        /** True if its connection has just come up or has been heard since it was written: it has surely arrived. */
-        default boolean provenAlive() {
-            return true;
+        /** True if something of its answer has come: it has surely arrived. */
+        default boolean answerBegun() {
+            return false;
         }
 
         /** Gives it up: nothing is heard of it any more. */
--- a/src/main/java/maplerail/core/FailureLog.java
+++ b/src/main/java/maplerail/core/FailureLog.java
@@ -29,12 +29,7 @@
                 .append(active.request.kind()).append(' ').append(end).append(" after ")
                 .append(Math.round(now - takenMs))
                 .append(" of ").append(Math.round(active.request.budgetMs())).append(" ms;");
-        for (ActiveRequest.Attempt attempt : active.attempts) {
-            line.append(attempt.reader ? " read " : " write ").append(Long.toHexString(attempt.engine)).append(" at ")
-                    .append(Math.round(attempt.sentMs - takenMs)).append(' ')
-                    .append(attempt.outcome == null ? "out" : attempt.outcome).append(" in ")
-                    .append(Math.round((attempt.ended ? attempt.endedMs : now) - attempt.sentMs)).append(';');
-        }
+        line.append(active.history(now));
         log.accept(line.toString());
     }
 }
--- a/src/main/java/maplerail/net/Call.java
+++ b/src/main/java/maplerail/net/Call.java
@@ -33,6 +33,8 @@
     private boolean reused;
     private boolean faultedHere;
     private double connectUntilMs;
+    private final double startMs;
+    private double connectedMs;
     private boolean wrote;
     private boolean paused;
     private boolean reading;
@@ -50,6 +52,7 @@
         this.reply = reply;
         this.reader = new AnswerReader(reply);
         this.urgent = urgent;
+        this.startMs = pool.loop().nowMs();
     }
 
     /** True if it goes before others, as it carries no client's request but keeps a rule. */
@@ -69,15 +72,17 @@
         return ByteBuffer.allocate(first.length + body.length).put(first).put(body).flip();
     }
 
-    /** True if it was written on a new connection, or something has come back since. */
-    public boolean provenAlive() {
-        return !reused || reader.status() != 0 || reader.within();
+    /** True if something has come back. */
+    public boolean answerBegun() {
+        return reader.status() != 0 || reader.within();
     }
 
     /** How far it has come, for the log: what was written, on which connection, and what has come back. */
     public String trace() {
         String written = bytes == null ? "not written" : "written " + bytes.position() + " of " + bytes.limit();
-        return written + (reused ? " on a kept connection" : " on a new connection") + ", status " + reader.status();
+        if (link == null && bytes == null) return written + ", waits for a connection";
+        String came = reused ? " on a kept connection" : " on a new connection";
+        return written + came + " after " + Math.round(connectedMs - startMs) + " ms, status " + reader.status();
     }
 
     /** True while nothing has been written. */
@@ -148,6 +153,7 @@
             return;
         }
         link = to;
+        connectedMs = pool.loop().nowMs();
         reused = to.idleSinceMs > 0;
         bytes = bytes(request.get(), body);
         link.connection.getSourceChannel().setReadListener(c -> read());
--- a/src/main/java/maplerail/net/CallSending.java
+++ b/src/main/java/maplerail/net/CallSending.java
@@ -10,8 +10,8 @@
     }
 
     @Override
-    public boolean provenAlive() {
-        return call.provenAlive();
+    public boolean answerBegun() {
+        return call.answerBegun();
     }
 
     @Override
--- a/src/main/java/maplerail/net/EngineClient.java
+++ b/src/main/java/maplerail/net/EngineClient.java
@@ -4,7 +4,6 @@
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
-import io.undertow.util.Methods;
 import java.io.ByteArrayOutputStream;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
@@ -13,18 +12,16 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import maplerail.Router.Outcome;
 import maplerail.config.ConfigException;
 import maplerail.config.Tree;
 import maplerail.core.ServiceRequest;
 import maplerail.core.Engines;
-import maplerail.core.Loop;
 
 /** Attempts and releases on the platform's wire. */
 public final class EngineClient implements Engines {
     private static final HttpString DEADLINE = new HttpString("Req-Deadline");
-    private static final double AGAIN_MS = 60; // between two tries at a release
-    private static final double SILENT_MS = 200; // after which a release that was not answered is tried again
     private static final int MOST_READ = 64 * 1024; // of an answer that is no stream
 
     private final Pool pool;
@@ -120,68 +117,9 @@
     }
 
     @Override
-    public void release(long engine, String id, double untilMs, Runnable answered) {
+    public void release(long engine, String id, double untilMs, Consumer<ReleaseResult> ended) {
         InetSocketAddress to = addresses.get(engine);
-        if (to != null) new Release(to, "/internal/reservations/" + id, untilMs, answered).attempt();
-    }
-
-    /** A release goes on until it is answered or too late: the time runs while connections fail to come up. */
-    private final class Release implements Reply {
-        private final InetSocketAddress to;
-        private final String target;
-        private final double untilMs;
-        private final Runnable answered;
-        private Call call;
-        private Loop.Alarm silence;
-        private boolean tried;
-
-        Release(InetSocketAddress to, String target, double untilMs, Runnable answered) {
-            this.to = to;
-            this.target = target;
-            this.untilMs = untilMs;
-            this.answered = answered;
-        }
-
-        void attempt() {
-            ClientRequest request = Requests.to(to, Methods.DELETE, target);
-            // What was not answered may have been lost on a connection that fell silent, as others to the engine may be.
-            call = tried ? pool.startOnNewConnection(to, request, new byte[0], this)
-                    : pool.start(to, request, new byte[0], this);
-            tried = true;
-            silence = loop.at(loop.nowMs() + SILENT_MS, this::silent);
-        }
-
-        private void silent() {
-            // One that still waits for a connection keeps its place; the pool says so when it has none in time.
-            if (call.unsent()) {
-                silence = loop.at(loop.nowMs() + SILENT_MS, this::silent);
-                return;
-            }
-            call.abort();
-            again(0);
-        }
-
-        private void again(double afterMs) {
-            silence.cancel();
-            if (loop.nowMs() + afterMs < untilMs) loop.at(loop.nowMs() + afterMs, this::attempt);
-        }
-
-        @Override
-        public void head(int status, HeaderMap headers) {
-            silence.cancel();
-        }
-
-        @Override
-        public void body(ByteBuffer piece) {}
-
-        @Override
-        public void end() {
-            answered.run();
-        }
-
-        @Override
-        public void failed(Failure failure) {
-            again(AGAIN_MS);
-        }
+        if (to != null) new ReleaseCall(pool, to, id, untilMs, ended).start();
+        else ended.accept(new ReleaseResult(false, 0, 0));
     }
 }
--- a/src/main/java/maplerail/net/ToolClient.java
+++ b/src/main/java/maplerail/net/ToolClient.java
@@ -13,6 +13,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import maplerail.Router.Outcome;
 import maplerail.core.ServiceRequest;
 import maplerail.core.Engines;
@@ -108,7 +109,7 @@
 
     /** Tool servers hold nothing for a request that has ended. */
     @Override
-    public void release(long engine, String id, double untilMs, Runnable answered) {
-        answered.run();
+    public void release(long engine, String id, double untilMs, Consumer<ReleaseResult> ended) {
+        ended.accept(new ReleaseResult(true, 0, 0));
     }
 }
--- a/src/main/java/maplerail/sim/Codec.java
+++ b/src/main/java/maplerail/sim/Codec.java
@@ -240,6 +240,8 @@
                 start(1090).putLong(cancel.id()).put((byte) cancel.attempt());
             } else if (action instanceof Router.Release release) {
                 start(1100).putLong(release.id());
+            } else if (action instanceof Router.Reclaim reclaim) {
+                start(1100).putLong(reclaim.id());
             } else if (action instanceof Router.Refuse refuse) {
                 start(1050).putLong(refuse.id()).putDouble(refuse.retryAfterMs());
             } else if (action instanceof Router.Fail fail) {
--- a/src/test/java/maplerail/FailoverTest.java
+++ b/src/test/java/maplerail/FailoverTest.java
@@ -321,10 +321,13 @@
         assertTrue(node.sends().size() <= before + 1, "no copies while all are behind");
     }
 
-    /** To the reader an attempt that never came is none: its state waits on from the end of the read. */
+    /**
+     * An attempt that has not been answered may never have come: its state waits on from the end of the read, also while
+     * a further attempt is on its way.
+     */
     @ParameterizedTest
-    @EnumSource(value = Outcome.class, names = {"UNREACHABLE", "NOT_SENT"})
-    void aStateThatNoWriterInReachTakesIsLetGoInTimeAndReadAnew(Outcome never) {
+    @EnumSource(value = Outcome.class, names = {"UNREACHABLE", "NOT_SENT", "CANCELLED", "TIMEOUT", "RESET"})
+    void aStateThatNoWriterTakesIsLetGoInTimeAndReadAnew(Outcome unheard) {
         Node node = new Node();
         node.copies = false;
         node.start(reader(1), reader(2), writer(11), writer(12), writer(13), writer(14));
@@ -332,16 +335,62 @@
         long reader = node.sent().engine();
         node.end(1, 0, Outcome.READ);
         double held = node.now;
-        for (int attempt = 1; node.of(Release.class).isEmpty(); attempt++) {
-            assertTrue(node.sent().engine() > 10, "a writer is tried");
-            node.until(node.now + 250);
-            node.end(1, attempt, never);
-            assertTrue(node.now <= held + 300 + 250, "the limit, and the attempt that was on its way by then");
+        int attempt = 1;
+        for (double next = held + 250; !isLetGo(node); node.until(node.now + 1)) {
+            assertTrue(node.now <= held + 300, "the limit");
+            if (node.now < next) continue;
+            node.end(1, attempt++, unheard);
+            assertTrue(node.sent().engine() > 10, "another writer is tried");
+            next = node.now + 250;
         }
+        node.end(1, attempt, unheard);
         assertEquals(reader, node.sent().engine(), "read where the prompt's tokens are kept");
         assertEquals(0, node.answers(1));
     }
 
+    private static boolean isLetGo(Node node) {
+        return !node.of(Release.class).isEmpty() || !node.of(Router.Reclaim.class).isEmpty();
+    }
+
+    /** Nothing has been heard of the write, though its connection came up, and its writer may have stopped. */
+    @ParameterizedTest
+    @EnumSource(Router.Repeat.class)
+    void aStateIsLetGoInTimeWhileItsWriteIsSilent(Router.Repeat repeat) {
+        Node node = new Node();
+        node.repeat = repeat;
+        node.copies = false;
+        node.start(reader(1), writer(11));
+        for (long id = 1; id <= 8; id++) {
+            node.arrive(id, id, 0, 1_000, 5_000);
+            node.end(id, 0, Outcome.READ);
+            node.on(new Router.FirstToken(id, 1, 0, 250));
+            node.end(id, 1, Outcome.SERVED);
+        }
+        node.arrive(9, 9, 0, 1_000, 5_000);
+        node.end(9, 0, Outcome.READ);
+        node.until(node.now + 300);
+        assertTrue(node.all.contains(new Router.Reclaim(9)));
+        assertEquals(0, node.answers(9), "it waits on: the write may be served all the same");
+        node.end(9, 1, Outcome.STATE_GONE);
+        assertTrue(node.sent().engine() < 10, "read anew");
+    }
+
+    @Test
+    void aWriterThatFoundNoStateIsNotPassedOverForOneThatWasSilent() {
+        Node node = new Node();
+        node.copies = false;
+        node.start(reader(1), reader(2), writer(11), writer(12));
+        node.arrive(1, 7, 0, 1_000, 5_000);
+        node.end(1, 0, Outcome.READ);
+        long silent = node.sent().engine();
+        node.end(1, 1, Outcome.CANCELLED);
+        long sound = node.sent().engine();
+        assertNotEquals(silent, sound);
+        node.end(1, 2, Outcome.STATE_GONE);
+        node.end(1, 3, Outcome.READ);
+        assertEquals(sound, node.sent().engine());
+    }
+
     /** A writer finds no state also where the reader is cut off; asked again, that one keeps the request for good. */
     @Test
     void aStateThatIsGoneIsReadAnewAtAnotherReader() {
--- a/src/test/java/maplerail/core/BrokerRig.java
+++ b/src/test/java/maplerail/core/BrokerRig.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import maplerail.Router;
 import maplerail.support.ManualLoop;
 
@@ -27,9 +28,9 @@
     int events;
     boolean callerLeft;
     boolean aborted;
-    /** Of the attempts that go out: whether a byte has been written, and whether they have surely arrived. */
+    /** Of the attempts that go out: whether a byte has been written, and whether an answer has begun. */
     boolean unsent;
-    boolean provenAlive;
+    boolean answerBegun;
     final Broker broker;
 
     /** A broker of one class whose requests must not take effect twice. */
@@ -74,7 +75,7 @@
             }
 
             @Override
-            public void release(long engine, String id, double untilMs, Runnable answered) {
+            public void release(long engine, String id, double untilMs, Consumer<ReleaseResult> ended) {
                 if (engine == READER) releasedAtMs.add(loop.now);
             }
         };
@@ -88,8 +89,8 @@
             }
 
             @Override
-            public boolean provenAlive() {
-                return provenAlive;
+            public boolean answerBegun() {
+                return answerBegun;
             }
 
             @Override
--- a/src/test/java/maplerail/core/BrokerTest.java
+++ b/src/test/java/maplerail/core/BrokerTest.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import maplerail.Router;
 import maplerail.Router.Cancel;
 import maplerail.Router.Ended;
@@ -99,11 +100,12 @@
             }
 
             @Override
-            public void release(long engine, String id, double untilMs, Runnable answered) {
+            public void release(long engine, String id, double untilMs, Consumer<ReleaseResult> ended) {
                 released.add(engine + "/" + id);
                 releasedAtMs.add(loop.now);
-                if (inReach) answered.run();
-                else unheard.add(answered);
+                Runnable answer = () -> ended.accept(new ReleaseResult(true, 1, 0));
+                if (inReach) answer.run();
+                else unheard.add(answer);
                 releasedForMs = untilMs - loop.now;
             }
         };
--- a/src/test/java/maplerail/core/LostWriteTest.java
+++ b/src/test/java/maplerail/core/LostWriteTest.java
@@ -9,6 +9,8 @@
 import maplerail.Router;
 import maplerail.Router.Outcome;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
 /**
  * A write that was sent on a connection which had fallen silent has not arrived: it is not out, and the time in which
@@ -56,24 +58,58 @@
         assertThat(rig.releasedAtMs.get(0)).isEqualTo(servedMs);
     }
 
+    /** The system of a process that is stopped takes its connections; only an answer proves that it runs. */
     @Test
-    void aStateStaysForAWriteOnAConnectionThatHasJustComeUp() {
-        rig.provenAlive = true;
+    void aStateStaysForAWriteWhoseAnswerHasBegunAndForNoOther() {
+        rig.answerBegun = true;
         writeOut(1);
         rig.loop.until(rig.loop.now + 3 * PIN_LIMIT_MS);
         assertThat(rig.releasedAtMs).isEmpty();
+        rig.answerBegun = false;
+        writeOut(2);
+        double readEndedMs = rig.loop.now;
+        rig.loop.until(readEndedMs + 3 * PIN_LIMIT_MS);
+        assertThat(rig.releasedAtMs).contains(readEndedMs + PIN_LIMIT_MS);
     }
 
     @Test
-    void aStateStaysWhileWritersUsuallyTakeNearlyAsLong() {
+    void aStateIsLetGoInTimeThoughWritersUsuallyTakeNearlyAsLong() {
         for (int number = 1; number <= 5; number++) {
             Engines.Answer write = writeOut(number);
             rig.loop.until(rig.loop.now + 0.6 * PIN_LIMIT_MS);
             write.event(new byte[1]);
             write.ended(Outcome.SERVED, 0);
         }
+        assertThat(rig.releasedAtMs).as("a stream that has begun has taken its state").isEmpty();
         writeOut(6);
-        rig.loop.until(rig.loop.now + 1.5 * PIN_LIMIT_MS);
+        double readEndedMs = rig.loop.now;
+        rig.loop.until(readEndedMs + 1.5 * PIN_LIMIT_MS);
+        assertThat(rig.releasedAtMs).containsExactly(readEndedMs + PIN_LIMIT_MS);
+    }
+
+    /** Neither what is called off nor a connection that does not come up was out for certain: the lease runs on. */
+    @ParameterizedTest
+    @EnumSource(names = {"CANCELLED", "TIMEOUT", "RESET", "UNREACHABLE"})
+    void aWriteThatEndsWithNoAnswerDoesNotPutOffTheEndOfTheLease(Outcome unheard) {
+        Engines.Answer first = writeOut(1);
+        double readEndedMs = rig.loop.now;
+        rig.loop.until(readEndedMs + 0.8 * PIN_LIMIT_MS);
+        first.ended(unheard, 0);
+        rig.loop.until(readEndedMs + 2 * PIN_LIMIT_MS);
+        assertThat(rig.releasedAtMs).isNotEmpty();
+        assertThat(rig.releasedAtMs.get(0)).isLessThanOrEqualTo(readEndedMs + PIN_LIMIT_MS);
+    }
+
+    @Test
+    void aWriterThatTurnsItsRequestAwayWasRunningAndTheLeaseBeginsAnew() {
+        Engines.Answer first = writeOut(1);
+        double readEndedMs = rig.loop.now;
+        rig.loop.until(readEndedMs + 0.8 * PIN_LIMIT_MS);
+        rig.next.add(new Router.Send(1, WRITER, LONG_MS));
+        first.ended(Outcome.FULL, 0);
+        rig.loop.until(readEndedMs + 1.7 * PIN_LIMIT_MS);
         assertThat(rig.releasedAtMs).isEmpty();
+        rig.loop.until(readEndedMs + 2 * PIN_LIMIT_MS);
+        assertThat(rig.releasedAtMs).containsExactly(readEndedMs + 1.8 * PIN_LIMIT_MS);
     }
 }
--- a/src/test/java/maplerail/net/EngineClientTest.java
+++ b/src/test/java/maplerail/net/EngineClientTest.java
@@ -86,4 +86,49 @@
             assertThat(toldSeconds).isLessThanOrEqualTo((untilMs - writtenAfterMs) / 1_000 + 0.001);
         }
     }
+
+    /** The state that it lets go counts as held until it arrives, and a kept connection may be silent. */
+    @Test
+    void aReleaseThatAKeptConnectionSwallowsGoesOutAgainAtOnceOnANewOne() throws Exception {
+        BlockingQueue<StandIn.Exchange> reads = World.queue();
+        BlockingQueue<Double> releasedMs = World.queue();
+        BlockingQueue<Engines.ReleaseResult> results = World.queue();
+        try (StandIn engine = new StandIn(exchange -> {
+            if (exchange.method.equals("POST")) {
+                reads.add(exchange);
+            } else if (exchange.number == 0) {
+                releasedMs.add(loop.nowMs());
+                exchange.reply(204, "");
+            } else {
+                exchange.awaitEnd(); // as on a connection on which nothing passes any more
+            }
+        })) {
+            EngineClient client = client(engine, 4);
+            loop.execute(() -> client.send(ENGINE, request("a"), loop.nowMs() + 60_000, () -> true, new Heard()));
+            take(reads).reply(202, "");
+            assertThat(take(heard)).isEqualTo("READ");
+            double readEndedMs = loop.nowMs();
+            await("settled", () -> loop.nowMs() > readEndedMs + 100);
+            double startMs = loop.nowMs();
+            loop.execute(() -> client.release(ENGINE, "a", startMs + 2_000, results::add));
+            assertThat(take(releasedMs) - startMs).isLessThan(200);
+            Engines.ReleaseResult result = take(results);
+            assertThat(result.answered()).isTrue();
+            assertThat(result.tries()).isEqualTo(2);
+        }
+    }
+
+    @Test
+    void aReleaseThatIsNeverAnsweredIsGivenUpAtItsTime() throws Exception {
+        BlockingQueue<Engines.ReleaseResult> results = World.queue();
+        try (StandIn engine = new StandIn(StandIn.Exchange::awaitEnd)) {
+            EngineClient client = client(engine, 4);
+            double startMs = loop.nowMs();
+            loop.execute(() -> client.release(ENGINE, "a", startMs + 400, results::add));
+            Engines.ReleaseResult result = take(results);
+            assertThat(result.answered()).isFalse();
+            assertThat(result.tries()).isBetween(2, 4);
+            assertThat(loop.nowMs()).isGreaterThanOrEqualTo(startMs + 400);
+        }
+    }
 }
--- /dev/null
+++ b/src/test/java/maplerail/policy/StateLeaseTest.java
@@ -0,0 +1,69 @@
+package maplerail.policy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.EnumSet;
+import maplerail.Router.Outcome;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class StateLeaseTest {
+    private static final double TERM_MS = 500;
+    private static final double START_MS = 1_000;
+    private static final double MARGIN_MS = 10;
+
+    private final StateLease lease = new StateLease(TERM_MS, START_MS);
+
+    @ParameterizedTest
+    @EnumSource(names = {"SERVED", "READ", "ERROR", "FULL", "STATE_GONE"})
+    void anAnswerBeginsTheTermAnew(Outcome answer) {
+        lease.attemptEnded(answer, START_MS + 300);
+        assertThat(lease.expiresMs()).isEqualTo(START_MS + 300 + TERM_MS);
+    }
+
+    @ParameterizedTest
+    @EnumSource(names = {"TIMEOUT", "UNREACHABLE", "RESET", "CANCELLED", "NOT_SENT"})
+    void whatThisSideSawOrDecidedDoesNot(Outcome outcome) {
+        lease.attemptEnded(outcome, START_MS + 300);
+        assertThat(lease.expiresMs()).isEqualTo(START_MS + TERM_MS);
+    }
+
+    /** A write that is sent late, or to writers that are usually slow, must be doubted within the term all the same. */
+    @ParameterizedTest
+    @ValueSource(doubles = {Double.NaN, 0, 40, 130, 390, 5_000})
+    void aWriteIsDoubtedWithinTheTermHoweverLongWritersTake(double usualWaitMs) {
+        for (double sentAfterMs = 0; sentAfterMs <= TERM_MS; sentAfterMs += 10) {
+            double doubtMs = lease.doubtMs(START_MS + sentAfterMs, usualWaitMs, MARGIN_MS);
+            assertThat(doubtMs).isBetween(START_MS + 0.7 * TERM_MS, START_MS + TERM_MS - MARGIN_MS);
+        }
+    }
+
+    @Test
+    void aWriteIsWaitedForAsLongAsIsUsualWhereTheTermAllowsIt() {
+        assertThat(lease.doubtMs(START_MS, 20, MARGIN_MS)).isEqualTo(START_MS + 350);
+        assertThat(lease.doubtMs(START_MS, 140, MARGIN_MS)).isEqualTo(START_MS + 420);
+        assertThat(lease.doubtMs(START_MS + 260, 50, MARGIN_MS)).isEqualTo(START_MS + 410);
+    }
+
+    /**
+     * Whatever ends in whatever order, with no answer in between the term is over at the same moment; an answer puts it
+     * off by less than a term each time.
+     */
+    @Test
+    void noSequenceOfEndsWithoutAnAnswerPutsOffTheEnd() {
+        checkAllSequences(new StateLease(TERM_MS, START_MS), START_MS, START_MS, 4);
+    }
+
+    private static void checkAllSequences(StateLease current, double nowMs, double lastAnswerMs, int depth) {
+        assertThat(current.expiresMs()).isEqualTo(lastAnswerMs + TERM_MS);
+        if (depth == 0) return;
+        for (Outcome outcome : EnumSet.allOf(Outcome.class)) {
+            double endedMs = nowMs + 100;
+            StateLease next = new StateLease(TERM_MS, current.sinceMs());
+            next.attemptEnded(outcome, endedMs);
+            checkAllSequences(next, endedMs, StateLease.isAnswer(outcome) ? endedMs : lastAnswerMs, depth - 1);
+        }
+    }
+}
