Keep a reclaimed state for another writer if the one that was doubted ran

A writer that answered others since the send was running, so the state is held still and its lease begins at the end of that write; the core does the same for the states that it has reclaimed. Writers whose attempt was not answered at all are passed over for those that failed with an answer.

--- a/src/main/java/maplerail/Logic.java
+++ b/src/main/java/maplerail/Logic.java
@@ -140,7 +140,7 @@
         final boolean read;
         final double sentMs;
         double cost, uncached, matched;
-        boolean ended, cancelled, begun, excused, failed, unreachable;
+        boolean ended, cancelled, begun, excused, failed, unheard, unreachable;
 
         /** A reader takes prompts in turn: an answer to a later one says that this one's is lost. */
         boolean overtaken() {
@@ -172,8 +172,9 @@
         /** Worth for each unit of work, lowered where it is over its tenant's share. */
         double worth;
         int out;
-        /** The reader whose state waits, whether any may be held, and for how long it may be. */
-        Engine holder;
+        /** The reader whose state waits, and one whose state was reclaimed from a write that is out. */
+        Engine holder, doubted;
+        /** Whether any may be held, and for how long it may be. */
         boolean held;
         StateLease lease;
         double firstMs;
@@ -292,10 +293,9 @@
         Arrival arrival = new Arrival(told.id(), told.kind(), told.tenant(), told.session(),
                 clamp(told.promptTokens()), told.prefix(), clamp(told.prefixTokens()), clamp(told.budgetMs()),
                 clamp(told.maxOutput()), clamp(told.hintMs()), told.resumed());
-        if (arrival.kind() >= settings.classes().size())
-            actions.add(new Refuse(arrival.id(), 0, EndReason.UNKNOWN_CLASS));
-        if (arrival.kind() >= settings.classes().size()) return;
         int classes = settings.classes().size();
+        if (arrival.kind() >= classes) actions.add(new Refuse(arrival.id(), 0, EndReason.UNKNOWN_CLASS));
+        if (arrival.kind() >= classes) return;
         boolean tenant = arrival.tenant() < settings.tenants().size();
         Request request = new Request(arrival, settings.classes().get(arrival.kind()),
                 tenant ? classes + arrival.tenant() : arrival.kind());
@@ -335,9 +335,8 @@
         if (attempt == null) return;
         Request request = attempt.request;
         attempt.ended = true;
-        // A state that is gone says nothing against the writer that looked for it.
-        attempt.failed = ended.outcome() != Outcome.READ && ended.outcome() != Outcome.SERVED
-                && ended.outcome() != Outcome.STATE_GONE;
+        attempt.failed = ended.outcome() != Outcome.READ && ended.outcome() != Outcome.SERVED;
+        attempt.unheard = !StateLease.isAnswer(ended.outcome());
         attempt.unreachable = ended.outcome() == Outcome.UNREACHABLE;
         request.out--;
         if (request.held) request.lease.attemptEnded(ended.outcome(), now);
@@ -702,7 +701,9 @@
                 .filter(e -> e.ready && role.test(e) && coldRoom(request, e) && repeatAllowed(request, e))
                 .toList();
         // Whether an engine that failed last is well again is found out with work that may be repeated.
+        // Of those that failed the request, one that answered runs at least.
         List<Predicate<Engine>> wishes = List.of(e -> e != not, this::admits,
+                e -> request.attempts.stream().noneMatch(a -> a.engine == e && a.unheard),
                 e -> request.attempts.stream().noneMatch(a -> a.engine == e && a.failed),
                 e -> request.attempts.stream()
                         .noneMatch(a -> a.unreachable && a.engine.member.zone() == e.member.zone()),
@@ -840,6 +841,7 @@
     private void onFailure(Request request, Attempt attempt, Outcome outcome) {
         if (outcome.neverRan && request.mayHaveRun == attempt) request.mayHaveRun = null;
         if (request.phase == Phase.STREAMING || request.out > 0) return;
+        keepIfWaitedFor(request, attempt, outcome);
         // The reader that held it has died or is cut off from the writer, perhaps from here too.
         Engine not = outcome == Outcome.STATE_GONE ? request.holder : attempt.engine;
         if (outcome == Outcome.STATE_GONE) request.holder = null;
@@ -853,6 +855,16 @@
         else write(request, attempt.engine);
     }
 
+    /** What a running writer waited for was not let go when it was reclaimed: its time begins anew. */
+    private void keepIfWaitedFor(Request request, Attempt write, Outcome outcome) {
+        boolean ran = StateLease.isAnswer(outcome) || write.engine.heardMs > write.sentMs;
+        if (request.doubted != null && ran && outcome != Outcome.STATE_GONE) {
+            request.holder = request.doubted;
+            hold(request);
+        }
+        request.doubted = null;
+    }
+
     /**
      * A writer could not get the state, though its reader may hold it still, or silent writers used up its
      * time: let it go. Its reader keeps the prompt's tokens.
@@ -888,8 +900,8 @@
         }
         Attempt write = number < request.attempts.size() ? request.attempts.get(number) : null;
         if (write == null || write.ended || write.cancelled || write.read) return;
-        // It may be held still: what a running writer waits for is let go only once that write has ended.
         actions.add(new Reclaim(request.asked.id()));
+        request.doubted = request.holder;
         request.holder = null;
     }
 
--- a/src/main/java/maplerail/core/ActiveRequest.java
+++ b/src/main/java/maplerail/core/ActiveRequest.java
@@ -21,6 +21,8 @@
     /** Engines at which a state may wait, and the leases of those that said so. */
     final Set<Long> mayHold = new LinkedHashSet<>();
     final Map<Long, StateLease> holds = new LinkedHashMap<>();
+    /** Readers whose states were let go while a write was out that may have waited for them. */
+    final Set<Long> reclaimed = new LinkedHashSet<>();
     boolean admitted;
     boolean answered;
     /** When a read was last cut off or broke at an engine, which may read on and hold a state in the end. */
--- a/src/main/java/maplerail/core/HeldStates.java
+++ b/src/main/java/maplerail/core/HeldStates.java
@@ -74,12 +74,17 @@
     /** An attempt has ended: an answer of its engine proves that it was out until now. */
     void attemptEnded(ActiveRequest active, Router.Outcome outcome) {
         active.holds.values().forEach(lease -> lease.attemptEnded(outcome, loop.nowMs()));
+        if (active.anyOut()) return;
+        // An engine keeps what a write waits for that has arrived after all: its time begins with the end of that.
+        if (outcome != Router.Outcome.STATE_GONE) active.reclaimed.forEach(engine -> granted(active, engine));
+        active.reclaimed.clear();
     }
 
     /** A stream has begun: what was held goes with that, but not what a reader that was cut off holds later. */
     void taken(ActiveRequest active) {
         active.mayHold.retainAll(active.cutReadsMs.keySet());
         active.holds.clear();
+        active.reclaimed.clear();
     }
 
     private void expired(ActiveRequest active, long engine, StateLease lease) {
@@ -111,8 +116,8 @@
 
     private void letGo(ActiveRequest active, long engine, Reason reason) {
         StateLease lease = active.holds.remove(engine);
-        // An engine keeps what a write waits for that has arrived after all: it is let go again once that has ended.
-        if (!active.anyOut()) active.mayHold.remove(engine);
+        if (active.anyOut()) active.reclaimed.add(engine);
+        else active.mayHold.remove(engine);
         counters.count(reason);
         if (lease != null) check(active, engine, lease);
         if (lease != null && reason != Reason.NO_LONGER_NEEDED) tell(active, engine, reason, lease);
--- a/src/test/java/maplerail/FailoverTest.java
+++ b/src/test/java/maplerail/FailoverTest.java
@@ -24,6 +24,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Where requests go on when their engine fails or says nothing, at a node that sends each engine little. */
 class FailoverTest {
@@ -375,6 +376,30 @@
         assertTrue(node.sent().engine() < 10, "read anew");
     }
 
+    /** A release lets go only of what no attempt waits for; a writer that answers others runs, and so its write waits. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void whatWasReclaimedFromAWriteGoesToAnotherWriterIfTheFirstOneRan(boolean ran) {
+        Node node = new Node();
+        node.copies = false;
+        node.start(reader(1), writer(11), writer(12));
+        node.arrive(1, 1, 0, 1_000, 5_000);
+        node.end(1, 0, Outcome.READ);
+        long writer = node.sent().engine();
+        for (long id = 2; id <= 20; id++) {
+            node.arrive(id, id, 0, 1_000, 5_000);
+            node.end(id, 0, Outcome.READ);
+            if (node.sent().engine() != writer) continue;
+            node.until(node.now + 300);
+            if (ran) node.first(id, 1);
+            break;
+        }
+        assertTrue(node.all.contains(new Router.Reclaim(1)));
+        node.end(1, 1, Outcome.CANCELLED);
+        assertEquals(ran, node.sent().engine() > 10, "the state is at hand");
+        assertEquals(!ran, node.last.contains(new Release(1)));
+    }
+
     @Test
     void aWriterThatFoundNoStateIsNotPassedOverForOneThatWasSilent() {
         Node node = new Node();
--- a/src/test/java/maplerail/support/StandIn.java
+++ b/src/test/java/maplerail/support/StandIn.java
@@ -8,6 +8,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.List;
@@ -183,6 +184,21 @@
             socket.close();
         }
 
+        /** True if the far side has ended the connection by now. */
+        public boolean isEnded() throws IOException {
+            int timeout = socket.getSoTimeout();
+            try {
+                socket.setSoTimeout(1);
+                return socket.getInputStream().read() < 0;
+            } catch (SocketTimeoutException e) {
+                return false;
+            } catch (IOException e) {
+                return true; // a reset ends it as well
+            } finally {
+                if (!socket.isClosed()) socket.setSoTimeout(timeout);
+            }
+        }
+
         /** Waits until the far side has ended the connection. */
         public void awaitEnd() {
             try {
