Pass over engines and zones that were silent towards all when a request is tried again

A writer or reader that has sent nothing to this gateway since the attempt went out has most likely stopped or is cut off, and so are others of its zone; one that answered others is not. TenantShares leaves Logic, behaviour unchanged.

--- a/src/main/java/maplerail/Logic.java
+++ b/src/main/java/maplerail/Logic.java
@@ -20,6 +20,7 @@
 import maplerail.policy.Rendezvous;
 import maplerail.policy.RequestState;
 import maplerail.policy.StateLease;
+import maplerail.policy.TenantShares;
 
 /**
  * Every decision of a node. Its events, actions and settings are in {@link Router} (Router.java).
@@ -59,7 +60,6 @@
     private static final double CALM_DRIFT = 1.01; // growth, each read, of the pace held to be free of queues
     private static final double WAIT_MS = 2_000, POOL_MS = 8_000; // in which a wait of one, of all, fades
     private static final double ADMIT = 0.7, QUEUED = 0.2; // of an aim, for a first token; for queues alone
-    private static final double SHARE_MS = 5_000; // of its share that a tenant may use at once
     private static final double RESELECT_MS = 25; // between two choices for a request that no engine can take
     private static final double MARGIN_TICKS = 3, MARGIN_MS = 4; // that a timer is set before its limit
     private static final double COLD_LOAD = 1.2, COLD_MOST = 0.8, RATE_MS = 10_000; // of a share; of the most
@@ -140,7 +140,7 @@
         final boolean read;
         final double sentMs;
         double cost, uncached, matched;
-        boolean ended, cancelled, begun, excused, failed, unheard, unreachable;
+        boolean ended, cancelled, begun, excused, failed, silent, unreachable;
 
         /** A reader takes prompts in turn: an answer to a later one says that this one's is lost. */
         boolean overtaken() {
@@ -222,7 +222,7 @@
     /** Tokens that D2LPM has granted each client at every reader. */
     private final Map<Integer, Double> granted = new TreeMap<>();
     private double retryTokens = 1;
-    private final Map<Integer, double[]> shares = new TreeMap<>();
+    private final TenantShares shares;
     private boolean askPending;
     private double shutToldMs = Double.NEGATIVE_INFINITY;
     private double now;
@@ -233,6 +233,7 @@
         this.settings = settings;
         this.random = new SplittableRandom(settings.seed());
         this.engineClock = new EngineClock(settings.rules());
+        this.shares = new TenantShares(settings.tenants(), settings.routers());
     }
 
     @Override
@@ -299,7 +300,7 @@
         boolean tenant = arrival.tenant() < settings.tenants().size();
         Request request = new Request(arrival, settings.classes().get(arrival.kind()),
                 tenant ? classes + arrival.tenant() : arrival.kind());
-        if (tenant && overShare(arrival.tenant())) request.worth *= settings.overShareWorth();
+        if (tenant && shares.isOver(arrival.tenant(), now)) request.worth *= settings.overShareWorth();
         requests.put(arrival.id(), request);
         if (lastMoment(request) <= now) {
             giveUp(request, EndReason.DEADLINE);
@@ -336,7 +337,8 @@
         Request request = attempt.request;
         attempt.ended = true;
         attempt.failed = ended.outcome() != Outcome.READ && ended.outcome() != Outcome.SERVED;
-        attempt.unheard = !StateLease.isAnswer(ended.outcome());
+        // Silent towards us altogether, as an engine that has stopped or is cut off is.
+        attempt.silent = !StateLease.isAnswer(ended.outcome()) && attempt.engine.heardMs < attempt.sentMs;
         attempt.unreachable = ended.outcome() == Outcome.UNREACHABLE;
         request.out--;
         if (request.held) request.lease.attemptEnded(ended.outcome(), now);
@@ -557,7 +559,7 @@
 
     private static double distance(Engine from, Engine to, int near) {
         if (from == null || to.member.cell() == near) return 0;
-        return from.member.zone() == to.member.zone() ? FAR_CELL : FAR_ZONE;
+        return sameZone(from, to) ? FAR_CELL : FAR_ZONE;
     }
 
     // ---- Health: outlier detection against peers of the role ----
@@ -701,12 +703,11 @@
                 .filter(e -> e.ready && role.test(e) && coldRoom(request, e) && repeatAllowed(request, e))
                 .toList();
         // Whether an engine that failed last is well again is found out with work that may be repeated.
-        // Of those that failed the request, one that answered runs at least.
         List<Predicate<Engine>> wishes = List.of(e -> e != not, this::admits,
-                e -> request.attempts.stream().noneMatch(a -> a.engine == e && a.unheard),
+                e -> request.attempts.stream().noneMatch(a -> a.engine == e && a.silent),
                 e -> request.attempts.stream().noneMatch(a -> a.engine == e && a.failed),
                 e -> request.attempts.stream()
-                        .noneMatch(a -> a.unreachable && a.engine.member.zone() == e.member.zone()),
+                        .noneMatch(a -> (a.unreachable || a.silent) && sameZone(a.engine, e)),
                 e -> request.kind.repeat() != Repeat.UNSAFE || e.role == Role.READ || !e.failedLast);
         for (Predicate<Engine> wish : wishes) {
             List<Engine> kept = able.stream().filter(wish).toList();
@@ -715,6 +716,10 @@
         return able;
     }
 
+    private static boolean sameZone(Engine one, Engine other) {
+        return one.member.zone() == other.member.zone();
+    }
+
     private boolean send(Request request, Engine engine, boolean read, double uncached, double matched) {
         if (ProtocolRules.attempt(request.state(), settings.limits()) != Reason.ALLOWED) {
             giveUp(request, EndReason.ATTEMPTS_SPENT);
@@ -967,19 +972,6 @@
         return waits.mean * Math.exp((waits.atMs - now) / POOL_MS);
     }
 
-    /** A bucket for each tenant, filled at this node's part of its share; empty means over it. */
-    private boolean overShare(int tenant) {
-        double perSecond = settings.tenants().get(tenant).quotaPerSecond();
-        double perMs = perSecond / 1000 / Math.max(1, settings.routers());
-        if (!(perMs > 0)) return false;
-        double burst = Math.max(1, SHARE_MS * perMs);
-        double[] bucket = shares.computeIfAbsent(tenant, t -> new double[] {burst, now});
-        double left = Math.min(burst, bucket[0] + (now - bucket[1]) * perMs) - 1;
-        bucket[0] = Math.max(0, left);
-        bucket[1] = now;
-        return left < 0;
-    }
-
     /** What an engine makes us wait: its recent times, or the age of what still waits there. */
     private double waitMs(Engine engine) {
         return Math.max(oldestMs(engine), seenMs(engine));
