--- a/src/main/java/maplerail/Logic.java
+++ b/src/main/java/maplerail/Logic.java
@@ -1,3 +1,4 @@
+// The events, actions and settings of this module are in Router.java.
 package maplerail;
 
 import java.util.ArrayList;
@@ -23,7 +24,7 @@
 import maplerail.policy.TenantShares;
 
 /**
- * Every decision of a node. Its events, actions and settings are in {@link Router} (Router.java).
+ * Every decision of a node. Its events, actions and settings are in {@link Router}.
  *
  * <p>The ordinary path is D2LPM: the reader that holds the longest prefix, while the client has credit
  * there, else the least queued reader with credit; when the read ends, the writer of lowest projected
