--- a/src/main/java/maplerail/net/ReleaseCall.java
+++ b/src/main/java/maplerail/net/ReleaseCall.java
@@ -5,7 +5,7 @@
 import io.undertow.util.Methods;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
-import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.Set;
 import java.util.function.Consumer;
 import maplerail.core.Engines.ReleaseResult;
@@ -29,7 +29,8 @@
     private final double untilMs;
     private final Consumer<ReleaseResult> ended;
     private final double startMs;
-    private final Set<Call> out = new HashSet<>();
+    /** Oldest first. */
+    private final Set<Call> out = new LinkedHashSet<>();
     private Loop.Alarm next;
     private double hedgeMs = FIRST_HEDGE_MS;
     private int tries;
@@ -56,7 +57,9 @@
             finish(false);
             return;
         }
-        if (out.size() < MOST_OUT) send();
+        // The oldest has had its time: a connection that fell silent, as in a cut that is over by now, stays so.
+        if (out.size() >= MOST_OUT) giveUpOldest();
+        send();
         next = loop.at(loop.nowMs() + hedgeMs, this::attempt);
         hedgeMs *= HEDGE_GROWTH;
     }
@@ -70,6 +73,12 @@
         out.add(reply.call);
     }
 
+    private void giveUpOldest() {
+        Call oldest = out.iterator().next();
+        out.remove(oldest);
+        oldest.abort();
+    }
+
     private void failed(Call call) {
         out.remove(call);
         if (done || !out.isEmpty()) return;
--- /dev/null
+++ b/src/test/java/maplerail/soak/FaultSoakIT.java
@@ -0,0 +1,28 @@
+package maplerail.soak;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** A short fault soak with fixed seeds; {@link FaultSoak} plays longer ones by hand. */
+class FaultSoakIT {
+    private static final int GATEWAYS = 3;
+    private static final int SECONDS = 8;
+    private static final Path FOLDER = Path.of("target/soak-it").toAbsolutePath();
+
+    @ParameterizedTest
+    @ValueSource(longs = {6001, 6003})
+    void noRuleIsBrokenUnderTroublesOfAllKinds(long seed) throws Exception {
+        assertThat(FaultSoak.play(seed, SECONDS, GATEWAYS, List.of(Trouble.values()), FOLDER)).isZero();
+    }
+
+    @Test
+    void noRuleIsBrokenWhileWritersStopAndGatewaysEnd() throws Exception {
+        List<Trouble> troubles = List.of(Trouble.WRITERS_STOP, Trouble.ROLLING_RESTART);
+        assertThat(FaultSoak.play(6002, SECONDS, GATEWAYS, troubles, FOLDER)).isZero();
+    }
+}
