--- a/src/test/java/maplerail/soak/GatewayProcess.java
+++ b/src/test/java/maplerail/soak/GatewayProcess.java
@@ -150,6 +150,7 @@
         if (process.isAlive()) new ProcessBuilder("kill", "-" + which, "" + process.pid()).start().waitFor();
     }
 
+    /** What a new process is started with, which counts as told to it; the one before may not have heard all of it. */
     private void learnList() {
         known = directory.since(-1,
                 entry -> ledger.told(name, entry.getKey(), entry.getValue()));
@@ -159,12 +160,12 @@
     void restart() throws Exception {
         ending = true;
         toldToEnd = process;
-        learnList();
         double toldMs = Ledger.nowMs();
         process.destroy();
         double killAfterMs = Math.min(settings.deadlineMs, MOST_DEADLINE_MS) + KILL_GRACE_MS;
         if (!process.waitFor((long) killAfterMs, TimeUnit.MILLISECONDS)) kill(toldMs + KILL_GRACE_MS);
         up = false;
+        learnList();
         start();
     }
 
@@ -193,8 +194,8 @@
         ending = true;
         up = false;
         toldToEnd = process;
-        learnList();
         kill(Double.POSITIVE_INFINITY);
+        learnList();
         start();
     }
 
