--- a/src/test/java/maplerail/cli/DrainTest.java
+++ b/src/test/java/maplerail/cli/DrainTest.java
@@ -8,8 +8,10 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import maplerail.core.Lifecycle.Phase;
 import maplerail.support.StandIn;
+import maplerail.support.StoppableEngine;
 import maplerail.support.World;
 import org.junit.jupiter.api.Test;
 
@@ -123,4 +125,30 @@
             assertThat(world.gateway.phase()).isEqualTo(Phase.STOPPED);
         }
     }
+
+    /** What a gateway that is gone holds, nobody lets go. */
+    @Test
+    void theExitWaitsForAReleaseThatIsUnderWay() throws Exception {
+        CountDownLatch answered = new CountDownLatch(1);
+        try (StandIn reader = new StandIn(exchange -> {
+            if (exchange.method.equals("DELETE")) answered.await();
+            exchange.reply(exchange.method.equals("DELETE") ? 204 : 202, "");
+        });
+                StoppableEngine writer = new StoppableEngine(StandIn.Exchange::awaitEnd);
+                World world = new World().engine("r", "prefill", reader).engine("w", "decode", writer.address(),
+                        "in_service").start();
+                Socket client = world.connect()) {
+            writer.stop();
+            send(client, request("a1", "repair-order", "1.0"));
+            await("the state is let go", () -> reader.count("DELETE") > 0);
+            world.gateway.drain();
+            assertThat(World.readAll(client.getInputStream())).startsWith("HTTP/1.1 5");
+            long answeredNanos = System.nanoTime();
+            await("several looks", () -> System.nanoTime() - answeredNanos > 200_000_000L);
+            assertThat(world.gateway.phase()).isNotEqualTo(Phase.STOPPED);
+            answered.countDown();
+            world.gateway.join();
+            assertThat(world.gateway.phase()).isEqualTo(Phase.STOPPED);
+        }
+    }
 }
--- a/src/test/java/maplerail/soak/SoakFleet.java
+++ b/src/test/java/maplerail/soak/SoakFleet.java
@@ -15,7 +15,7 @@
 
 /** Gateways, engines, agents and clients of one run. */
 final class SoakFleet implements AutoCloseable {
-    static final int READERS = 5;
+    private static final int READERS = 5;
     private static final int WRITERS = 5;
     private static final int HELD_LOOK_MS = 20;
 
