Wait for the last releases without closing clients' connections first

Cause: Gateway.finish closed the listener and all connections before the wait, in the turn in which the last answer was written; over unread bytes that resets the connection and the end of the answer is lost. Change: finish waits in its own loop, as it does for open requests.

--- a/src/main/java/maplerail/cli/Gateway.java
+++ b/src/main/java/maplerail/cli/Gateway.java
@@ -79,6 +79,8 @@
     private AcceptingChannel<?> server;
     private AcceptingChannel<?> rpcServer;
     private final List<ClientListener> listeners = new ArrayList<>();
+    /** When it exits though releases are under way; set once all else is done. */
+    private double exitByMs = Double.NaN;
 
     /** Makes a gateway that does not listen yet; {@code toolsConfig} is null where the second front is off. */
     public Gateway(NodeConfig config, ToolsConfig toolsConfig) throws IOException {
@@ -249,19 +251,13 @@
             loop.at(loop.nowMs() + LOOK_MS, this::finish);
             return;
         }
-        if (rpc != null) rpc.close();
-        // As the exit would: nobody gets in any more, and nobody is left.
-        IoUtils.safeClose(server, rpcServer);
-        listeners.forEach(ClientListener::close);
-        lastReleases(loop.nowMs() + LAST_RELEASES_MS);
-    }
-
-    /** Lets releases that are under way reach their engines: what a gateway that is gone holds, nobody lets go. */
-    private void lastReleases(double untilMs) {
-        if (broker.unfinishedReleases() > 0 && loop.nowMs() < untilMs) {
-            loop.at(loop.nowMs() + LOOK_MS, () -> lastReleases(untilMs));
+        // A gateway that is gone lets nothing go; whoever still sends is turned away meanwhile, as before.
+        if (Double.isNaN(exitByMs)) exitByMs = loop.nowMs() + LAST_RELEASES_MS;
+        if (broker.unfinishedReleases() > 0 && loop.nowMs() < exitByMs) {
+            loop.at(loop.nowMs() + LOOK_MS, this::finish);
             return;
         }
+        if (rpc != null) rpc.close();
         lifecycle.move(Phase.STOPPED);
         broker.counters().tell();
         LOG.info("drained; releases not answered: {}", broker.unfinishedReleases());
