--- a/src/main/java/maplerail/Logic.java
+++ b/src/main/java/maplerail/Logic.java
@@ -16,8 +16,10 @@
 import maplerail.policy.ArrivalCounts;
 import maplerail.policy.EngineClock;
 import maplerail.policy.PrefixTable;
+import maplerail.policy.PriorAttempt;
 import maplerail.policy.ProtocolRules;
 import maplerail.policy.ProtocolRules.Reason;
+import maplerail.policy.RecentMean;
 import maplerail.policy.Rendezvous;
 import maplerail.policy.RequestState;
 import maplerail.policy.StateLease;
@@ -74,22 +76,6 @@
         DEADLINE, RESELECT, LEASE, OVERDUE, ASK
     }
 
-    /** A mean of recent samples and the weight that they still have. */
-    private final class Evidence {
-        double mean;
-        private double weight, atMs;
-
-        double weight() {
-            return weight * Math.exp((atMs - now) / MEMORY_MS);
-        }
-
-        void add(double value) {
-            weight = Math.min(SAMPLES - 1, weight()) + 1;
-            mean += (value - mean) / weight;
-            atMs = now;
-        }
-    }
-
     /** What is usual in a role, for one step: medians, our answers by engine, and a cold one's part. */
     private record RoleStats(double pace, double waitMs, double stream, double failures, double fairRate,
             double coldShare) {}
@@ -109,11 +95,11 @@
         double projected;
         double reported = Double.NaN;
         /** Milliseconds for each unit of cost, in all, and of streaming for each token of the stand-in. */
-        final Evidence pace = new Evidence();
-        final Evidence typicalMs = new Evidence();
-        final Evidence stream = new Evidence();
+        final RecentMean pace = new RecentMean(SAMPLES, MEMORY_MS);
+        final RecentMean typicalMs = new RecentMean(SAMPLES, MEMORY_MS);
+        final RecentMean stream = new RecentMean(SAMPLES, MEMORY_MS);
         /** Share of outcomes that failed. */
-        final Evidence failures = new Evidence();
+        final RecentMean failures = new RecentMean(SAMPLES, MEMORY_MS);
         double heardMs, fullUntil;
         /** When the last of those that were answered was sent: what was sent before has been overtaken. */
         double answeredSentMs = Double.NEGATIVE_INFINITY;
@@ -142,6 +128,9 @@
         final double sentMs;
         double cost, uncached, matched;
         boolean ended, cancelled, begun, excused, failed, silent, unreachable;
+        /** Where its engine was listed when it was sent, and how it ended. */
+        final int zone, cell;
+        Outcome outcome;
 
         /** A reader takes prompts in turn: an answer to a later one says that this one's is lost. */
         boolean overtaken() {
@@ -154,6 +143,13 @@
             this.engine = engine;
             this.read = read;
             this.sentMs = sentMs;
+            this.zone = engine.member.zone();
+            this.cell = engine.member.cell();
+        }
+
+        /** As the rules see it. */
+        PriorAttempt prior() {
+            return new PriorAttempt(engine.role == Role.READ, sentMs, zone, cell, outcome);
         }
     }
 
@@ -179,8 +175,6 @@
         boolean held;
         StateLease lease;
         double firstMs;
-        /** The first attempt that may have run, for the repeat rules. */
-        Attempt mayHaveRun;
 
         Request(Arrival asked, RequestClass kind, int client) {
             this.asked = asked;
@@ -196,10 +190,7 @@
 
         RequestState state() {
             boolean over = phase == Phase.DONE || phase == Phase.STREAMING;
-            Member at = mayHaveRun == null ? null : mayHaveRun.engine.member;
-            RequestState.FirstRun first = at == null ? null
-                    : new RequestState.FirstRun(mayHaveRun.sentMs, at.zone(), at.cell());
-            return new RequestState(kind, over, attempts.size(), out, deadlineMs, first);
+            return new RequestState(kind, over, deadlineMs, attempts.stream().map(Attempt::prior).toList());
         }
     }
 
@@ -216,9 +207,9 @@
     /** Of each role, answers a millisecond and when that was so; it fades. */
     private final Map<Role, double[]> answers = new TreeMap<>();
     /** Waits for a first token lately, wherever; one as long as the aim for a writer that was full. */
-    private final Evidence firstTokens = new Evidence();
+    private final RecentMean firstTokens = new RecentMean(SAMPLES, MEMORY_MS);
     /** The same for reads, beyond what they take at the calm pace: the least lately seen. */
-    private final Evidence reads = new Evidence();
+    private final RecentMean reads = new RecentMean(SAMPLES, MEMORY_MS);
     private double calmPace = Double.POSITIVE_INFINITY;
     /** Tokens that D2LPM has granted each client at every reader. */
     private final Map<Integer, Double> granted = new TreeMap<>();
@@ -327,7 +318,7 @@
         attempt.begun = true;
         if (request.phase != Phase.DONE) request.phase = Phase.STREAMING;
         observePace(attempt, first.spentMs());
-        firstTokens.add(Math.min(clamp(first.spentMs()), request.kind.aimMs()));
+        firstTokens.add(Math.min(clamp(first.spentMs()), request.kind.aimMs()), now);
         good(attempt.engine);
         request.attempts.stream().filter(a -> a != attempt).forEach(this::cancel);
     }
@@ -337,6 +328,7 @@
         if (attempt == null) return;
         Request request = attempt.request;
         attempt.ended = true;
+        attempt.outcome = ended.outcome();
         attempt.failed = ended.outcome() != Outcome.READ && ended.outcome() != Outcome.SERVED;
         // Silent towards us altogether, as an engine that has stopped or is cut off is.
         attempt.silent = !StateLease.isAnswer(ended.outcome()) && attempt.engine.heardMs < attempt.sentMs;
@@ -584,11 +576,11 @@
             case SERVED -> {
                 good(engine);
                 double seen = (now - attempt.request.firstMs) / attempt.request.expectedOutput;
-                if (attempt.request.expectedOutput >= 1 && seen >= 0) engine.stream.add(seen);
+                if (attempt.request.expectedOutput >= 1 && seen >= 0) engine.stream.add(seen, now);
             }
             case FULL -> {
                 engine.fullUntil = now + FULL_MS;
-                (attempt.read ? reads : firstTokens).add(attempt.request.kind.aimMs());
+                (attempt.read ? reads : firstTokens).add(attempt.request.kind.aimMs(), now);
             }
             case ERROR, RESET, UNREACHABLE, TIMEOUT -> {
                 bad(engine, attempt);
@@ -605,14 +597,14 @@
         engine.answeredSentMs = Math.max(engine.answeredSentMs, attempt.sentMs);
         if (attempt.read) {
             calmPace = Math.min(spentMs / attempt.cost, calmPace * CALM_DRIFT);
-            reads.add(Math.min(spentMs - calmPace * attempt.cost, attempt.request.kind.aimMs()));
+            reads.add(Math.min(spentMs - calmPace * attempt.cost, attempt.request.kind.aimMs()), now);
         }
-        engine.pace.add(spentMs / attempt.cost);
-        engine.typicalMs.add(spentMs);
+        engine.pace.add(spentMs / attempt.cost, now);
+        engine.typicalMs.add(spentMs, now);
         // So slow that aims are at stake: a queue alone does not eject.
         double floor = SLOW_AT * settings.classes().stream().mapToDouble(RequestClass::aimMs).min().orElse(0);
-        boolean slow = engine.pace.weight() >= ENOUGH && relativePace(engine) > SLOW_OUTLIER;
-        if (slow && engine.typicalMs.mean > floor) eject(engine, "slow");
+        boolean slow = engine.pace.weight(now) >= ENOUGH && relativePace(engine) > SLOW_OUTLIER;
+        if (slow && engine.typicalMs.mean() > floor) eject(engine, "slow");
     }
 
     /** How slowly an engine streams against its peers, running streams counted; 1 if unknown. */
@@ -630,9 +622,9 @@
     }
 
     /** Few samples count against one usual one, and not at all while they are unremarkable. */
-    private static double relative(Evidence seen, double usual) {
-        double weight = seen.weight();
-        double relative = usual > 0 ? (weight * seen.mean / usual + 1) / (weight + 1) : 1;
+    private double relative(RecentMean seen, double usual) {
+        double weight = seen.weight(now);
+        double relative = usual > 0 ? (weight * seen.mean() / usual + 1) / (weight + 1) : 1;
         return weight < ENOUGH && relative < REMARKABLE ? 1 : relative;
     }
 
@@ -647,8 +639,8 @@
         });
     }
 
-    private static double median(List<Engine> among, Function<Engine, Evidence> of) {
-        double[] values = among.stream().map(of).mapToDouble(v -> v.weight() >= SOME ? v.mean : Double.NaN)
+    private double median(List<Engine> among, Function<Engine, RecentMean> of) {
+        double[] values = among.stream().map(of).filter(v -> v.weight(now) >= SOME).mapToDouble(RecentMean::mean)
                 .filter(v -> v >= 0).sorted().toArray();
         return values.length == 0 ? Double.NaN : values[(values.length - 1) / 2];
     }
@@ -660,7 +652,7 @@
     private void good(Engine engine) {
         engine.heardMs = now;
         engine.failedLast = false;
-        engine.failures.add(0);
+        engine.failures.add(0, now);
         if (engine.ejected && now >= engine.ejectedUntil && ++engine.goodTrials >= HALF_OPEN_STEPS) {
             engine.ejected = false;
             engine.ejections = 0;
@@ -669,10 +661,10 @@
 
     private void bad(Engine engine, Attempt attempt) {
         // Silence says less of an engine that we seldom hear anyway.
-        engine.failures.add(attempt.ended || engine.failures.weight() >= ENOUGH ? 1 : SILENCE);
+        engine.failures.add(attempt.ended || engine.failures.weight(now) >= ENOUGH ? 1 : SILENCE, now);
         if (attempt.read) drop(attempt.request, engine);
-        double weight = engine.failures.weight();
-        double rate = engine.failures.mean * weight / (weight + 1);
+        double weight = engine.failures.weight(now);
+        double rate = engine.failures.mean() * weight / (weight + 1);
         if (rate > FAIL_LIMIT && !(rate <= OUTLIER * usual(engine).failures)) eject(engine, "failing");
     }
 
@@ -685,8 +677,8 @@
         engine.ejectedUntil = now + Math.min(EJECT_MAX_MS, least);
         engine.ejections++;
         engine.goodTrials = 0;
-        engine.pace.weight = 1;
-        engine.failures.weight = 0;
+        engine.pace.reweigh(1);
+        engine.failures.reweigh(0);
         actions.add(new Log("ejected " + Long.toHexString(engine.id) + ": " + why));
     }
 
@@ -726,6 +718,8 @@
             giveUp(request, EndReason.ATTEMPTS_SPENT);
             return false;
         }
+        // A repeat may wait for a connection, and is then withdrawn at the end of its window.
+        double startByMs = engine.role == Role.READ ? Double.POSITIVE_INFINITY : repeatUntilMs(request);
         if (cold(engine)) engine.coldBucket -= 1;
         Attempt attempt = new Attempt(request, engine, read, now);
         attempt.cost = read ? engine.queued + uncached + READ_OVERHEAD : 1;
@@ -736,9 +730,6 @@
         engine.out.add(attempt);
         engine.queued += uncached;
         if (!read) engine.projected += request.asked.promptTokens() + request.expectedOutput;
-        // A repeat may wait for a connection, and is then withdrawn at the end of its window.
-        double startByMs = engine.role == Role.READ ? Double.POSITIVE_INFINITY : repeatUntilMs(request);
-        if (engine.role != Role.READ && request.mayHaveRun == null) request.mayHaveRun = attempt;
         actions.add(new Send(request.asked.id(), engine.id, request.deadlineMs, startByMs));
         setTimer(request.asked.id(), attempt.number, TimerKind.OVERDUE, now + patience(attempt));
         if (!read && request.holder != null)
@@ -748,7 +739,7 @@
 
     /** Keyed work that may have run goes only where its repeats are dropped; unsafe work nowhere. */
     private boolean repeatAllowed(Request request, Engine engine) {
-        return request.mayHaveRun == null
+        return request.attempts.isEmpty()
                 || ProtocolRules.repeat(request.state(), engine.target(), margin(), now) == Reason.ALLOWED;
     }
 
@@ -811,7 +802,7 @@
         boolean unsafe = request.kind.repeat() == Repeat.UNSAFE;
         double againMs = now + OVERDUE_SHARE * request.kind.aimMs();
         // What may have begun to answer and can't be repeated is waited for: called off, it is lost for sure.
-        if (unsafe && attempt == request.mayHaveRun) {
+        if (unsafe && attempt.prior().mayHaveRun()) {
             if (mute) bad(attempt.engine, attempt);
             else setTimer(request.asked.id(), number, TimerKind.OVERDUE, againMs);
             return;
@@ -845,7 +836,6 @@
     }
 
     private void onFailure(Request request, Attempt attempt, Outcome outcome) {
-        if (outcome.neverRan && request.mayHaveRun == attempt) request.mayHaveRun = null;
         if (request.phase == Phase.STREAMING || request.out > 0) return;
         keepIfWaitedFor(request, attempt, outcome);
         // The reader that held it has died or is cut off from the writer, perhaps from here too.
@@ -969,8 +959,8 @@
         return usual(engine).fairRate * WAIT_MS < 1;
     }
 
-    private double pooled(Evidence waits) {
-        return waits.mean * Math.exp((waits.atMs - now) / POOL_MS);
+    private double pooled(RecentMean waits) {
+        return waits.faded(POOL_MS, now);
     }
 
     /** What an engine makes us wait: its recent times, or the age of what still waits there. */
--- a/src/main/java/maplerail/core/ActiveRequest.java
+++ b/src/main/java/maplerail/core/ActiveRequest.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 import maplerail.Router;
+import maplerail.policy.PriorAttempt;
 import maplerail.policy.ProtocolRules;
 import maplerail.policy.RequestState;
 import maplerail.policy.StateLease;
@@ -39,14 +40,10 @@
     }
 
     /** What the rules have to know of it, by what really went out and came back. */
-    RequestState state(List<Router.RequestClass> classes, Fleet fleet) {
+    RequestState state(List<Router.RequestClass> classes) {
         Router.RequestClass requestClass = request.kind() < classes.size() ? classes.get(request.kind()) : null;
-        int out = (int) attempts.stream().filter(attempt -> !attempt.ended).count();
-        RequestState.FirstRun first = attempts.stream().filter(Attempt::mayHaveRun).findFirst().map(attempt -> {
-            ProtocolRules.Target at = fleet.target(attempt.engine);
-            return new RequestState.FirstRun(attempt.sentMs, at.zone(), at.cell());
-        }).orElse(null);
-        return new RequestState(requestClass, answered || winner != null, attempts.size(), out, deadlineMs, first);
+        return new RequestState(requestClass, answered || winner != null, deadlineMs,
+                attempts.stream().map(Attempt::prior).toList());
     }
 
     boolean anyOut() {
@@ -84,6 +81,8 @@
         final ActiveRequest active;
         final int number;
         final long engine;
+        /** Its engine as it was listed when the attempt was made. */
+        final ProtocolRules.Target target;
         final boolean reader;
         final double sentMs;
         Engines.Sending sending;
@@ -98,16 +97,17 @@
         Router.Outcome outcome;
         double endedMs;
 
-        /** True unless it is a read, which has no effect, or its end proves that it had none. */
-        boolean mayHaveRun() {
-            return !reader && (!ended || !outcome.neverRan);
+        /** As the rules see it. */
+        PriorAttempt prior() {
+            return new PriorAttempt(reader, sentMs, target.zone(), target.cell(), outcome);
         }
 
-        Attempt(ActiveRequest active, long engine, boolean reader, double sentMs) {
+        Attempt(ActiveRequest active, long engine, ProtocolRules.Target target, double sentMs) {
             this.active = active;
             this.number = active.attempts.size();
             this.engine = engine;
-            this.reader = reader;
+            this.target = target;
+            this.reader = target.role() == Router.Role.READ;
             this.sentMs = sentMs;
         }
     }
--- a/src/main/java/maplerail/core/AttemptRunner.java
+++ b/src/main/java/maplerail/core/AttemptRunner.java
@@ -56,8 +56,8 @@
     void attempt(Router.Send order) {
         ActiveRequest active = registry.find(order.id());
         if (active == null) return;
-        ActiveRequest.Attempt attempt = new ActiveRequest.Attempt(active, order.engine(), fleet.reader(order.engine()),
-                loop.nowMs());
+        ActiveRequest.Attempt attempt = new ActiveRequest.Attempt(active, order.engine(),
+                fleet.target(order.engine()), loop.nowMs());
         double until = order.untilMs() > 0 ? Math.min(order.untilMs(), active.deadlineMs) : active.deadlineMs;
         Reason verdict = verdict(active, order.engine());
         if (verdict == Reason.ALLOWED && until <= loop.nowMs()) verdict = Reason.DEADLINE_PASSED;
@@ -92,7 +92,7 @@
     /** Whether an attempt may go out now, by what has really happened; looks whether its client is still there. */
     private Reason verdict(ActiveRequest active, long engine) {
         if (!active.answered && active.caller.hasLeft()) gone.accept(active);
-        return ProtocolRules.send(active.state(settings.classes(), fleet), fleet.target(engine), settings.limits(),
+        return ProtocolRules.send(active.state(settings.classes()), fleet.target(engine), settings.limits(),
                 loop.nowMs());
     }
 
@@ -104,7 +104,7 @@
         ActiveRequest active = attempt.active;
         if (!active.answered && active.caller.hasLeft()) gone.accept(active);
         if (attempt.ended) return false;
-        Reason verdict = ProtocolRules.begin(active.state(settings.classes(), fleet), fleet.target(attempt.engine),
+        Reason verdict = ProtocolRules.begin(active.state(settings.classes()), fleet.target(attempt.engine),
                 loop.nowMs());
         if (verdict == Reason.ALLOWED) return true;
         counters.count(verdict);
--- a/src/main/java/maplerail/core/Broker.java
+++ b/src/main/java/maplerail/core/Broker.java
@@ -133,7 +133,7 @@
     private void refuse(Router.Refuse order) {
         ActiveRequest active = registry.find(order.id());
         if (active == null || active.answered) return;
-        Reason verdict = ProtocolRules.refusal(active.state(settings.classes(), fleet), 0, loop.nowMs());
+        Reason verdict = ProtocolRules.refusal(active.state(settings.classes()), 0, loop.nowMs());
         if (verdict != Reason.ALLOWED) {
             monitor.breach(RuleMonitor.Breach.REFUSAL_WITHHELD, active.request.id(), verdict.name());
             fail(order.id(), Why.ENGINE, order.why());
--- a/src/main/java/maplerail/policy/ProtocolRules.java
+++ b/src/main/java/maplerail/policy/ProtocolRules.java
@@ -63,14 +63,14 @@
     /** Whether a further attempt may be out, wherever it goes. */
     public static Reason attempt(RequestState request, Limits limits) {
         if (request.over()) return Reason.REQUEST_OVER;
-        if (request.attempts() >= limits.maxAttempts()) return Reason.ATTEMPTS_SPENT;
-        if (request.attemptsOut() > 0 && !limits.secondCopies()) return Reason.ATTEMPT_OUT;
+        if (request.attempts().size() >= limits.maxAttempts()) return Reason.ATTEMPTS_SPENT;
+        if (request.anyOut() && !limits.secondCopies()) return Reason.ATTEMPT_OUT;
         return Reason.ALLOWED;
     }
 
     /** Whether an attempt at an engine may follow those that may have run; a read has no effect. */
     public static Reason repeat(RequestState request, Target target, double marginMs, double nowMs) {
-        RequestState.FirstRun first = request.firstRun();
+        PriorAttempt first = request.firstThatMayHaveRun();
         if (target.role() == Role.READ || first == null || isPure(request)) return Reason.ALLOWED;
         if (request.requestClass().repeat() == Repeat.UNSAFE) return Reason.MAY_HAVE_RUN;
         if (nowMs >= repeatUntilMs(request, marginMs)) return Reason.REPEAT_WINDOW_OVER;
@@ -84,7 +84,7 @@
 
     /** Until when an attempt that takes effect may begin, by what may have run already, less a margin. */
     public static double repeatUntilMs(RequestState request, double marginMs) {
-        RequestState.FirstRun first = request.firstRun();
+        PriorAttempt first = request.firstThatMayHaveRun();
         if (first == null || isPure(request)) return Double.POSITIVE_INFINITY;
         RequestClass requestClass = request.requestClass();
         if (requestClass.repeat() == Repeat.UNSAFE) return Double.NEGATIVE_INFINITY;
@@ -96,8 +96,8 @@
         RequestClass requestClass = request.requestClass();
         if (requestClass == null || requestClass.repeat() == Repeat.PURE) return Reason.ALLOWED;
         // While an attempt is out there is no proof that it does nothing.
-        if (requestClass.repeat() == Repeat.UNSAFE && request.attemptsOut() > 0) return Reason.ATTEMPT_OUT;
-        if (request.firstRun() == null) return Reason.ALLOWED;
+        if (requestClass.repeat() == Repeat.UNSAFE && request.anyOut()) return Reason.ATTEMPT_OUT;
+        if (request.firstThatMayHaveRun() == null) return Reason.ALLOWED;
         if (requestClass.repeat() == Repeat.UNSAFE) return Reason.MAY_HAVE_RUN;
         if (nowMs >= repeatUntilMs(request, marginMs)) return Reason.REPEAT_WINDOW_OVER;
         return requestClass.scope() == Scope.ALL ? Reason.ALLOWED : Reason.OUTSIDE_REPEAT_SCOPE;
--- a/src/main/java/maplerail/policy/RequestState.java
+++ b/src/main/java/maplerail/policy/RequestState.java
@@ -1,5 +1,7 @@
 package maplerail.policy;
 
+import java.util.List;
+import java.util.function.Predicate;
 import maplerail.Router.RequestClass;
 
 /**
@@ -7,14 +9,21 @@
  *
  * @param requestClass its class, or null if the settings do not name it
  * @param over true once it has its final answer or its stream has begun: nothing more is sent for it
- * @param attempts attempts made, whatever became of them
- * @param attemptsOut attempts that have not ended
  * @param deadlineMs when its client gives up
- * @param firstRun the first attempt that may have taken effect, or null if none has
+ * @param attempts all attempts made, in order, whatever became of them
  */
-public record RequestState(RequestClass requestClass, boolean over, int attempts, int attemptsOut, double deadlineMs,
-        FirstRun firstRun) {
+public record RequestState(RequestClass requestClass, boolean over, double deadlineMs, List<PriorAttempt> attempts) {
+    /** Whether an attempt has not ended. */
+    boolean anyOut() {
+        return first(PriorAttempt::out) != null;
+    }
 
-    /** When and where an attempt that may have taken effect was sent. */
-    public record FirstRun(double sentMs, int zone, int cell) {}
+    /** The first attempt that may have taken effect, or null if none has. */
+    PriorAttempt firstThatMayHaveRun() {
+        return first(PriorAttempt::mayHaveRun);
+    }
+
+    private PriorAttempt first(Predicate<PriorAttempt> which) {
+        return attempts.stream().filter(which).findFirst().orElse(null);
+    }
 }
--- a/src/test/java/maplerail/policy/ProtocolRulesTest.java
+++ b/src/test/java/maplerail/policy/ProtocolRulesTest.java
@@ -2,14 +2,16 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.ArrayList;
+import java.util.List;
 import maplerail.Router.Limits;
+import maplerail.Router.Outcome;
 import maplerail.Router.Repeat;
 import maplerail.Router.RequestClass;
 import maplerail.Router.Role;
 import maplerail.Router.Scope;
 import maplerail.policy.ProtocolRules.Reason;
 import maplerail.policy.ProtocolRules.Target;
-import maplerail.policy.RequestState.FirstRun;
 import org.junit.jupiter.api.Test;
 
 class ProtocolRulesTest {
@@ -19,9 +21,18 @@
     private static final double DEADLINE_MS = 5_000;
     private static final double WINDOW_MS = 1_000;
 
-    private static RequestState state(Repeat repeat, Scope scope, int attempts, int out, FirstRun first) {
+    /** A request with so many attempts: one that may have run, if any, reads that are out, and others never sent. */
+    private static RequestState state(Repeat repeat, Scope scope, int attempts, int out, PriorAttempt first) {
         RequestClass requestClass = new RequestClass(1_000, 0, DEADLINE_MS, 0, 1, 0, repeat, scope, WINDOW_MS);
-        return new RequestState(requestClass, false, attempts, out, DEADLINE_MS, first);
+        List<PriorAttempt> made = new ArrayList<>();
+        if (first != null) made.add(first);
+        for (int i = 0; i < out; i++) made.add(new PriorAttempt(true, 100, 1, 1, null));
+        while (made.size() < attempts) made.add(new PriorAttempt(false, 100, 1, 1, Outcome.NOT_SENT));
+        return new RequestState(requestClass, false, DEADLINE_MS, made);
+    }
+
+    private static PriorAttempt resetWrite(double sentMs, int zone, int cell) {
+        return new PriorAttempt(false, sentMs, zone, cell, Outcome.RESET);
     }
 
     private static Reason send(RequestState state, Target target, double nowMs) {
@@ -34,7 +45,7 @@
         assertThat(send(fresh, WRITER, 4_999)).isEqualTo(Reason.ALLOWED);
         assertThat(send(fresh, WRITER, 5_000)).isEqualTo(Reason.DEADLINE_PASSED);
         assertThat(send(fresh, new Target(Role.WRITE, false, 1, 1), 0)).isEqualTo(Reason.ENGINE_NOT_IN_SERVICE);
-        RequestState over = new RequestState(fresh.requestClass(), true, 0, 0, DEADLINE_MS, null);
+        RequestState over = new RequestState(fresh.requestClass(), true, DEADLINE_MS, List.of());
         assertThat(send(over, WRITER, 0)).isEqualTo(Reason.REQUEST_OVER);
     }
 
@@ -48,7 +59,7 @@
 
     @Test
     void whatMayHaveRunGoesAgainOnlyWhereItsClassAllowsIt() {
-        FirstRun first = new FirstRun(100, 1, 2);
+        PriorAttempt first = resetWrite(100, 1, 2);
         assertThat(send(state(Repeat.PURE, Scope.ALL, 1, 0, first), WRITER, 200)).isEqualTo(Reason.ALLOWED);
         assertThat(send(state(Repeat.UNSAFE, Scope.ALL, 1, 0, first), WRITER, 200)).isEqualTo(Reason.MAY_HAVE_RUN);
         assertThat(send(state(Repeat.UNSAFE, Scope.ALL, 1, 0, first), READER, 200)).isEqualTo(Reason.ALLOWED);
@@ -62,7 +73,7 @@
 
     @Test
     void aRefusalPromisesThatARepeatIsHarmless() {
-        FirstRun first = new FirstRun(100, 1, 2);
+        PriorAttempt first = resetWrite(100, 1, 2);
         assertThat(refusal(Repeat.PURE, Scope.ALL, 1, first)).isEqualTo(Reason.ALLOWED);
         assertThat(refusal(Repeat.UNSAFE, Scope.ALL, 0, null)).isEqualTo(Reason.ALLOWED);
         assertThat(refusal(Repeat.UNSAFE, Scope.ALL, 1, null)).isEqualTo(Reason.ATTEMPT_OUT);
@@ -73,7 +84,7 @@
                 .isEqualTo(Reason.REPEAT_WINDOW_OVER);
     }
 
-    private static Reason refusal(Repeat repeat, Scope scope, int out, FirstRun first) {
+    private static Reason refusal(Repeat repeat, Scope scope, int out, PriorAttempt first) {
         return ProtocolRules.refusal(state(repeat, scope, 1, out, first), 0, 200);
     }
 
