--- a/src/main/java/maplerail/Logic.java
+++ b/src/main/java/maplerail/Logic.java
@@ -640,8 +640,8 @@
     }
 
     private double median(List<Engine> among, Function<Engine, RecentMean> of) {
-        double[] values = among.stream().map(of).filter(v -> v.weight(now) >= SOME).mapToDouble(RecentMean::mean)
-                .filter(v -> v >= 0).sorted().toArray();
+        double[] values = among.stream().map(of).filter(v -> v.weight(now) >= SOME)
+                .mapToDouble(RecentMean::mean).filter(v -> v >= 0).sorted().toArray();
         return values.length == 0 ? Double.NaN : values[(values.length - 1) / 2];
     }
 
