Hold reads and refusals of keyed work to the group and window of what may have run

Causes, both in ProtocolRules: - `repeat` let every read pass. The traced request read anew 1.3 s later, in another zone. - `refusal` turned down a refusal with an attempt out for unsafe work only, not for keyed work whose repeats only a zone or cell drops.

A place that the list does not tell is in no group. Logic withdraws a read too at the end of the window, gives a request up at once when the window is over or its group has no engine in service, reads nothing anew for writers that are all outside, and waits for a write that may have run where no other writer may follow it.

One assertion of ProtocolRulesTest said that unsafe work that may have run may be read again.

--- a/src/main/java/maplerail/Logic.java
+++ b/src/main/java/maplerail/Logic.java
@@ -73,7 +73,7 @@
 
     /** What a timer is for; its place is the low part of the token. */
     private enum TimerKind {
-        DEADLINE, RESELECT, LEASE, OVERDUE, ASK
+        DEADLINE, RESELECT, LEASE, OVERDUE, ASK, WINDOW
     }
 
     /** What is usual in a role, for one step: medians, our answers by engine, and a cold one's part. */
@@ -128,8 +128,8 @@
         final double sentMs;
         double cost, uncached, matched;
         boolean ended, cancelled, begun, excused, failed, silent, unreachable;
-        /** Where its engine was listed when it was sent, and how it ended. */
-        final int zone, cell;
+        /** Its engine as listed when it was sent, and how it ended. */
+        final ProtocolRules.Target target;
         Outcome outcome;
 
         /** A reader takes prompts in turn: an answer to a later one says that this one's is lost. */
@@ -143,13 +143,12 @@
             this.engine = engine;
             this.read = read;
             this.sentMs = sentMs;
-            this.zone = engine.member.zone();
-            this.cell = engine.member.cell();
+            this.target = engine.target();
         }
 
         /** As the rules see it. */
         PriorAttempt prior() {
-            return new PriorAttempt(engine.role == Role.READ, sentMs, zone, cell, outcome);
+            return new PriorAttempt(target, sentMs, outcome);
         }
     }
 
@@ -287,8 +286,10 @@
                 clamp(told.promptTokens()), told.prefix(), clamp(told.prefixTokens()), clamp(told.budgetMs()),
                 clamp(told.maxOutput()), clamp(told.hintMs()), told.resumed());
         int classes = settings.classes().size();
-        if (arrival.kind() >= classes) actions.add(new Refuse(arrival.id(), 0, EndReason.UNKNOWN_CLASS));
-        if (arrival.kind() >= classes) return;
+        if (arrival.kind() >= classes) {
+            actions.add(new Refuse(arrival.id(), 0, EndReason.UNKNOWN_CLASS));
+            return;
+        }
         boolean tenant = arrival.tenant() < settings.tenants().size();
         Request request = new Request(arrival, settings.classes().get(arrival.kind()),
                 tenant ? classes + arrival.tenant() : arrival.kind());
@@ -361,6 +362,9 @@
         if (alarm == TimerKind.RESELECT) reselect(request);
         if (alarm == TimerKind.LEASE) leaseEnds(request, (int) (token >>> 4 & 255));
         if (alarm == TimerKind.OVERDUE) overdue(request, (int) (token >>> 4 & 255));
+        // A read that is out then has no writer any more to which its state may go.
+        boolean reading = request.phase == Phase.READING;
+        if (alarm == TimerKind.WINDOW && reading) giveUp(request, EndReason.MAY_HAVE_RUN);
     }
 
     private Attempt attemptOf(long id, int number) {
@@ -463,8 +467,8 @@
         double spread = HOME_SPREAD * able.size() * before;
         double count = history ? 1 : Math.ceil(spread / (arrivals.of(0, now) + HOME_PRIOR));
         List<Engine> homes = key == 0 ? List.of() : able.stream()
-                .sorted(Comparator.comparingLong(e -> weight(key, e))).limit((long) Math.max(1, count))
-                .toList();
+                .sorted(Comparator.comparingLong(e -> Rendezvous.weight(key, e.id)))
+                .limit((long) Math.max(1, count)).toList();
         boolean sentByOthers = seen * (settings.routers() - 1) > homes.size();
         request.homes = sentByOthers || history && settings.routers() > 1 ? homes : List.of();
         request.assumed = history ? HISTORY * request.asked.promptTokens() : request.asked.prefixTokens();
@@ -472,10 +476,6 @@
         return longest > 0 ? able.stream().filter(e -> matchedTokens(request, e) >= longest).toList() : homes;
     }
 
-    private static long weight(long key, Engine engine) {
-        return Rendezvous.weight(key, engine.id);
-    }
-
     private double matchedTokens(Request request, Engine engine) {
         double session = sessions.heldTokens(request.asked.session(), engine, now);
         double prefix = prefixes.heldTokens(request.asked.prefix(), engine, now);
@@ -640,9 +640,7 @@
     }
 
     private double median(List<Engine> among, Function<Engine, RecentMean> of) {
-        double[] values = among.stream().map(of).filter(v -> v.weight(now) >= SOME)
-                .mapToDouble(RecentMean::mean).filter(v -> v >= 0).sorted().toArray();
-        return values.length == 0 ? Double.NaN : values[(values.length - 1) / 2];
+        return RecentMean.median(among.stream().map(of), SOME, now);
     }
 
     private List<Engine> peers(Engine engine) {
@@ -719,7 +717,7 @@
             return false;
         }
         // A repeat may wait for a connection, and is then withdrawn at the end of its window.
-        double startByMs = engine.role == Role.READ ? Double.POSITIVE_INFINITY : repeatUntilMs(request);
+        double startByMs = repeatUntilMs(request);
         if (cold(engine)) engine.coldBucket -= 1;
         Attempt attempt = new Attempt(request, engine, read, now);
         attempt.cost = read ? engine.queued + uncached + READ_OVERHEAD : 1;
@@ -732,6 +730,8 @@
         if (!read) engine.projected += request.asked.promptTokens() + request.expectedOutput;
         actions.add(new Send(request.asked.id(), engine.id, request.deadlineMs, startByMs));
         setTimer(request.asked.id(), attempt.number, TimerKind.OVERDUE, now + patience(attempt));
+        boolean ends = startByMs < request.deadlineMs;
+        if (read && ends) setTimer(request.asked.id(), 0, TimerKind.WINDOW, startByMs);
         if (!read && request.holder != null)
             setTimer(request.asked.id(), attempt.number, TimerKind.LEASE, doubtMs(request, engine));
         return true;
@@ -743,7 +743,22 @@
                 || ProtocolRules.repeat(request.state(), engine.target(), margin(), now) == Reason.ALLOWED;
     }
 
-    /** Until when an attempt at a writer may begin, by what may have run already. */
+    /** Whether another writer in service may be sent what one has, or may have, begun. */
+    private boolean mayFollow(Request request, Engine writer) {
+        return request.kind.repeat() == Repeat.PURE || engines.values().stream()
+                .anyMatch(e -> e != writer && e.ready && e.role != Role.READ && repeatAllowed(request, e));
+    }
+
+    /** Whether a writer, and a reader if it needs one, are in service to which what may have run may go. */
+    private boolean groupServes(Request request) {
+        if (repeatUntilMs(request) == Double.POSITIVE_INFINITY) return true;
+        List<Engine> group = engines.values().stream()
+                .filter(e -> e.ready && repeatAllowed(request, e)).toList();
+        return group.stream().anyMatch(e -> e.role != Role.READ)
+                && (request.holder != null || group.stream().anyMatch(this::reads));
+    }
+
+    /** Until when an attempt may begin, by what may have run already. */
     private double repeatUntilMs(Request request) {
         return ProtocolRules.repeatUntilMs(request.state(), margin());
     }
@@ -802,7 +817,7 @@
         boolean unsafe = request.kind.repeat() == Repeat.UNSAFE;
         double againMs = now + OVERDUE_SHARE * request.kind.aimMs();
         // What may have begun to answer and can't be repeated is waited for: called off, it is lost for sure.
-        if (unsafe && attempt.prior().mayHaveRun()) {
+        if (attempt.prior().mayHaveRun() && !mayFollow(request, attempt.engine)) {
             if (mute) bad(attempt.engine, attempt);
             else setTimer(request.asked.id(), number, TimerKind.OVERDUE, againMs);
             return;
@@ -846,6 +861,7 @@
         if (now >= repeatUntilMs(request)) giveUp(request, EndReason.MAY_HAVE_RUN);
         else if (spent) giveUp(request, EndReason.ATTEMPTS_SPENT);
         else if (lastMoment(request) <= now) giveUp(request, EndReason.DEADLINE);
+        else if (!groupServes(request)) giveUp(request, EndReason.MAY_HAVE_RUN);
         else if (request.holder == null) readAnew(request, not);
         else if (now >= leaseEndMs(request)) readAnew(request, null);
         else write(request, attempt.engine);
@@ -881,7 +897,7 @@
 
     private void reselect(Request request) {
         if (request.out > 0) return;
-        if (now > request.aimMs || now >= repeatUntilMs(request)) giveUp(request, EndReason.NO_ENGINE);
+        if (now > request.aimMs || !groupServes(request)) giveUp(request, EndReason.NO_ENGINE);
         if (request.phase == Phase.HOLDING) write(request, null);
         if (request.phase == Phase.READING) read(request, null);
     }
--- a/src/main/java/maplerail/Router.java
+++ b/src/main/java/maplerail/Router.java
@@ -42,8 +42,14 @@
         CHANGES, WHOLE, REMEMBERED, FAILED
     }
 
-    /** An engine as listed; {@code startedMs} is 0 if it started long ago. */
-    record Member(long engine, State state, double startedMs, int zone, int cell, double scale, int kind) {}
+    /**
+     * An engine as listed; {@code startedMs} is 0 if it started long ago. A zone or cell that is not told is
+     * {@link #UNKNOWN_PLACE}.
+     */
+    record Member(long engine, State state, double startedMs, int zone, int cell, double scale, int kind) {
+        /** No zone and no cell: such an engine shares neither with any other. */
+        public static final int UNKNOWN_PLACE = -1;
+    }
 
     /** A load report; a value that is not told is NaN. */
     record Load(double memoryShare) {}
--- a/src/main/java/maplerail/config/EngineList.java
+++ b/src/main/java/maplerail/config/EngineList.java
@@ -10,7 +10,7 @@
 /** A list of engines, or the changes to one, as discovery words it: what to tell the module, and where they are. */
 public record EngineList(long version, boolean whole, List<Router.Member> members,
         Map<Long, InetSocketAddress> addresses) {
-    private static final int UNKNOWN = 255; // a kind or zone that the settings do not name
+    private static final int UNKNOWN_KIND = 255; // that the settings do not name
 
     /** Reads discovery's JSON. An entry that cannot be read is passed over, as one must not hide the others. */
     public static EngineList read(Tree root, Names names) {
@@ -25,8 +25,9 @@
             if (state == Router.State.READY && address == null) continue;
             if (address != null) addresses.put(id, address);
             members.add(new Router.Member(id, state, host.at("born_ms").number(0),
-                    place(names.zones(), host.at("site")), (int) host.at("block").number(0),
-                    host.at("share").number(1), place(names.kinds(), host.at("class"))));
+                    place(names.zones(), host.at("site"), Router.Member.UNKNOWN_PLACE),
+                    (int) host.at("block").number(Router.Member.UNKNOWN_PLACE), host.at("share").number(1),
+                    place(names.kinds(), host.at("class"), UNKNOWN_KIND)));
         }
         return new EngineList((long) root.need("seq").atLeast(0), root.at("whole").flag(), List.copyOf(members),
                 Map.copyOf(addresses));
@@ -41,8 +42,8 @@
         };
     }
 
-    private static int place(List<String> among, Tree name) {
+    private static int place(List<String> among, Tree name, int unknown) {
         int at = among.indexOf(name.text(""));
-        return at >= 0 ? at : UNKNOWN;
+        return at >= 0 ? at : unknown;
     }
 }
--- a/src/main/java/maplerail/core/ActiveRequest.java
+++ b/src/main/java/maplerail/core/ActiveRequest.java
@@ -99,7 +99,7 @@
 
         /** As the rules see it. */
         PriorAttempt prior() {
-            return new PriorAttempt(reader, sentMs, target.zone(), target.cell(), outcome);
+            return new PriorAttempt(target, sentMs, outcome);
         }
 
         Attempt(ActiveRequest active, long engine, ProtocolRules.Target target, double sentMs) {
--- a/src/main/java/maplerail/core/Fleet.java
+++ b/src/main/java/maplerail/core/Fleet.java
@@ -37,12 +37,11 @@
     /** An engine as the target of an attempt; one that no list has named is in no service. */
     ProtocolRules.Target target(long engine) {
         Router.Member member = members.get(engine);
-        if (member == null) return new ProtocolRules.Target(Router.Role.BOTH, false, 0, 0);
+        if (member == null) {
+            int nowhere = Router.Member.UNKNOWN_PLACE;
+            return new ProtocolRules.Target(Router.Role.BOTH, false, nowhere, nowhere);
+        }
         Router.Role role = roles.getOrDefault(engine, Router.Role.BOTH);
         return new ProtocolRules.Target(role, ready(engine), member.zone(), member.cell());
     }
-
-    boolean reader(long engine) {
-        return roles.get(engine) == Router.Role.READ;
-    }
 }
--- a/src/main/java/maplerail/policy/ProtocolRules.java
+++ b/src/main/java/maplerail/policy/ProtocolRules.java
@@ -1,8 +1,8 @@
 package maplerail.policy;
 
 import maplerail.Router.Limits;
+import maplerail.Router.Member;
 import maplerail.Router.Repeat;
-import maplerail.Router.RequestClass;
 import maplerail.Router.Role;
 import maplerail.Router.Scope;
 
@@ -68,39 +68,52 @@
         return Reason.ALLOWED;
     }
 
-    /** Whether an attempt at an engine may follow those that may have run; a read has no effect. */
+    /**
+     * Whether an attempt at an engine may follow earlier ones. An attempt binds all later ones, also those that only
+     * read, while it is out, and for good if it may have run.
+     */
     public static Reason repeat(RequestState request, Target target, double marginMs, double nowMs) {
-        PriorAttempt first = request.firstThatMayHaveRun();
-        if (target.role() == Role.READ || first == null || isPure(request)) return Reason.ALLOWED;
-        if (request.requestClass().repeat() == Repeat.UNSAFE) return Reason.MAY_HAVE_RUN;
-        if (nowMs >= repeatUntilMs(request, marginMs)) return Reason.REPEAT_WINDOW_OVER;
-        boolean dropped = switch (request.requestClass().scope()) {
+        PriorAttempt first = request.firstThatBinds();
+        if (first == null || isPure(request)) return Reason.ALLOWED;
+        if (request.requestClass().repeat() == Repeat.UNSAFE) {
+            return first.mayHaveRun() ? Reason.MAY_HAVE_RUN : Reason.ATTEMPT_OUT;
+        }
+        if (nowMs >= windowEndMs(request, first) - marginMs) return Reason.REPEAT_WINDOW_OVER;
+        return sameGroup(request.requestClass().scope(), first, target) ? Reason.ALLOWED : Reason.OUTSIDE_REPEAT_SCOPE;
+    }
+
+    /** Whether the engines of a group drop the repeats of an attempt; a place that is not told is in no group. */
+    private static boolean sameGroup(Scope scope, PriorAttempt first, Target target) {
+        return switch (scope) {
             case ALL -> true;
-            case ZONE -> target.zone() == first.zone();
-            case CELL -> target.cell() == first.cell();
+            case ZONE -> first.target().zone() == target.zone() && first.target().zone() != Member.UNKNOWN_PLACE;
+            case CELL -> first.target().cell() == target.cell() && first.target().cell() != Member.UNKNOWN_PLACE;
         };
-        return dropped ? Reason.ALLOWED : Reason.OUTSIDE_REPEAT_SCOPE;
     }
 
-    /** Until when an attempt that takes effect may begin, by what may have run already, less a margin. */
+    /** Until when a further attempt may begin, by what may have run already, less a margin. */
     public static double repeatUntilMs(RequestState request, double marginMs) {
         PriorAttempt first = request.firstThatMayHaveRun();
         if (first == null || isPure(request)) return Double.POSITIVE_INFINITY;
-        RequestClass requestClass = request.requestClass();
-        if (requestClass.repeat() == Repeat.UNSAFE) return Double.NEGATIVE_INFINITY;
-        return first.sentMs() + requestClass.keyTtlMs() - marginMs;
+        if (request.requestClass().repeat() == Repeat.UNSAFE) return Double.NEGATIVE_INFINITY;
+        return windowEndMs(request, first) - marginMs;
+    }
+
+    private static double windowEndMs(RequestState request, PriorAttempt first) {
+        return first.sentMs() + request.requestClass().keyTtlMs();
     }
 
     /** Whether the client may be told that trying again is harmless. */
     public static Reason refusal(RequestState request, double marginMs, double nowMs) {
-        RequestClass requestClass = request.requestClass();
-        if (requestClass == null || requestClass.repeat() == Repeat.PURE) return Reason.ALLOWED;
+        if (isPure(request)) return Reason.ALLOWED;
+        boolean everywhere = request.requestClass().repeat() == Repeat.KEYED
+                && request.requestClass().scope() == Scope.ALL;
         // While an attempt is out there is no proof that it does nothing.
-        if (requestClass.repeat() == Repeat.UNSAFE && request.anyOut()) return Reason.ATTEMPT_OUT;
+        if (!everywhere && request.anyOut()) return Reason.ATTEMPT_OUT;
         if (request.firstThatMayHaveRun() == null) return Reason.ALLOWED;
-        if (requestClass.repeat() == Repeat.UNSAFE) return Reason.MAY_HAVE_RUN;
-        if (nowMs >= repeatUntilMs(request, marginMs)) return Reason.REPEAT_WINDOW_OVER;
-        return requestClass.scope() == Scope.ALL ? Reason.ALLOWED : Reason.OUTSIDE_REPEAT_SCOPE;
+        if (request.requestClass().repeat() == Repeat.UNSAFE) return Reason.MAY_HAVE_RUN;
+        if (!everywhere) return Reason.OUTSIDE_REPEAT_SCOPE;
+        return nowMs >= repeatUntilMs(request, marginMs) ? Reason.REPEAT_WINDOW_OVER : Reason.ALLOWED;
     }
 
     /** Whether a request that has arrived may be taken. */
--- a/src/main/java/maplerail/policy/RecentMean.java
+++ b/src/main/java/maplerail/policy/RecentMean.java
@@ -1,5 +1,7 @@
 package maplerail.policy;
 
+import java.util.stream.Stream;
+
 /** A mean of recent samples and the weight that they still have: it fades with time, and older samples count less. */
 public final class RecentMean {
     private final double mostSamples;
@@ -40,4 +42,11 @@
     public double faded(double fadeMs, double nowMs) {
         return mean * Math.exp((atMs - nowMs) / fadeMs);
     }
+
+    /** The lower median of those that stand for so many samples at least, NaN if there are none. */
+    public static double median(Stream<RecentMean> among, double leastSamples, double nowMs) {
+        double[] means = among.filter(seen -> seen.weight(nowMs) >= leastSamples).mapToDouble(RecentMean::mean)
+                .filter(mean -> mean >= 0).sorted().toArray();
+        return means.length == 0 ? Double.NaN : means[(means.length - 1) / 2];
+    }
 }
--- a/src/main/java/maplerail/policy/RequestState.java
+++ b/src/main/java/maplerail/policy/RequestState.java
@@ -23,6 +23,11 @@
         return first(PriorAttempt::mayHaveRun);
     }
 
+    /** The first attempt that binds all later ones, as it is out or may have taken effect; or null. */
+    PriorAttempt firstThatBinds() {
+        return first(attempt -> attempt.out() || attempt.mayHaveRun());
+    }
+
     private PriorAttempt first(Predicate<PriorAttempt> which) {
         return attempts.stream().filter(which).findFirst().orElse(null);
     }
--- a/src/test/java/maplerail/policy/ProtocolRulesTest.java
+++ b/src/test/java/maplerail/policy/ProtocolRulesTest.java
@@ -26,13 +26,13 @@
         RequestClass requestClass = new RequestClass(1_000, 0, DEADLINE_MS, 0, 1, 0, repeat, scope, WINDOW_MS);
         List<PriorAttempt> made = new ArrayList<>();
         if (first != null) made.add(first);
-        for (int i = 0; i < out; i++) made.add(new PriorAttempt(true, 100, 1, 1, null));
-        while (made.size() < attempts) made.add(new PriorAttempt(false, 100, 1, 1, Outcome.NOT_SENT));
+        for (int i = 0; i < out; i++) made.add(new PriorAttempt(READER, 100, null));
+        while (made.size() < attempts) made.add(new PriorAttempt(WRITER, 100, Outcome.NOT_SENT));
         return new RequestState(requestClass, false, DEADLINE_MS, made);
     }
 
     private static PriorAttempt resetWrite(double sentMs, int zone, int cell) {
-        return new PriorAttempt(false, sentMs, zone, cell, Outcome.RESET);
+        return new PriorAttempt(new Target(Role.WRITE, true, zone, cell), sentMs, Outcome.RESET);
     }
 
     private static Reason send(RequestState state, Target target, double nowMs) {
@@ -62,7 +62,7 @@
         PriorAttempt first = resetWrite(100, 1, 2);
         assertThat(send(state(Repeat.PURE, Scope.ALL, 1, 0, first), WRITER, 200)).isEqualTo(Reason.ALLOWED);
         assertThat(send(state(Repeat.UNSAFE, Scope.ALL, 1, 0, first), WRITER, 200)).isEqualTo(Reason.MAY_HAVE_RUN);
-        assertThat(send(state(Repeat.UNSAFE, Scope.ALL, 1, 0, first), READER, 200)).isEqualTo(Reason.ALLOWED);
+        assertThat(send(state(Repeat.UNSAFE, Scope.ALL, 1, 0, first), READER, 200)).isEqualTo(Reason.MAY_HAVE_RUN);
         assertThat(send(state(Repeat.KEYED, Scope.ALL, 1, 0, first), WRITER, 1_099)).isEqualTo(Reason.ALLOWED);
         assertThat(send(state(Repeat.KEYED, Scope.ALL, 1, 0, first), WRITER, 1_100))
                 .isEqualTo(Reason.REPEAT_WINDOW_OVER);
