Let the soak's agent turn away a call that wakes while it is down

Cause: a watch of a process that had ended waited in the agent; the change woke it while the agent was turning calls away, the write to its socket, whose far side was gone, succeeded, and the ledger counted the change as told to the process that runs now. Such a call gets 503 too, and nothing counts as told; no check was changed.

--- a/src/test/java/maplerail/soak/DiscoveryAgent.java
+++ b/src/test/java/maplerail/soak/DiscoveryAgent.java
@@ -61,6 +61,11 @@
         }
         long known = number(INDEX, exchange.target, -1);
         directory.await(known, number(WAIT, exchange.target, 0));
+        // It may have begun to turn calls away meanwhile, and learns nothing then.
+        if (busy) {
+            exchange.reply(503, "busy");
+            return;
+        }
         if (silent) {
             exchange.awaitEnd();
             return;
