Draw the repeat group in the soak, place its engines in zones and cells, and check refusals

The soak's keyed class always had group `all` and its engines stood in one zone, so it could not see the faults of the patient site. New rules of the ledger: REPEAT_GROUP (anything sent outside the group of what may have run, a read too) and REFUSAL (a refusal of what may have run).

--- a/src/test/java/maplerail/soak/EngineStandIn.java
+++ b/src/test/java/maplerail/soak/EngineStandIn.java
@@ -24,7 +24,7 @@
 
     final String host;
     final boolean reader;
-    final int block;
+    final Ledger.Place place;
     final FaultProxy proxy;
     private final Ledger ledger;
     private final SoakSettings settings;
@@ -38,10 +38,11 @@
     volatile long bornMs;
     volatile String health = "in_service";
 
-    EngineStandIn(String host, boolean reader, int block, Ledger ledger, SoakSettings settings) throws IOException {
+    EngineStandIn(String host, boolean reader, Ledger.Place place, Ledger ledger, SoakSettings settings)
+            throws IOException {
         this.host = host;
         this.reader = reader;
-        this.block = block;
+        this.place = place;
         this.ledger = ledger;
         this.settings = settings;
         server = new StandIn(this::handle);
@@ -196,10 +197,10 @@
 
     String listed() {
         return String.format(Locale.ROOT,
-                "{\"host\":\"%s\",\"dial\":\"%s:%d\",\"site\":\"a\",\"class\":\"%s\",\"block\":%d,"
+                "{\"host\":\"%s\",\"dial\":\"%s:%d\",\"site\":\"%s\",\"class\":\"%s\",\"block\":%d,"
                         + "\"health\":\"%s\",\"share\":1.0,\"born_ms\":%d}",
-                host, address().getHostString(), address().getPort(),
-                reader ? "prefill" : "decode", block, health, bornMs);
+                host, address().getHostString(), address().getPort(), place.zone(),
+                reader ? "prefill" : "decode", place.cell(), health, bornMs);
     }
 
     @Override
--- a/src/test/java/maplerail/soak/FaultSoak.java
+++ b/src/test/java/maplerail/soak/FaultSoak.java
@@ -82,7 +82,8 @@
             int breaches = fleet.ledger.breaches();
             long own = fleet.ownBreaches();
             String report = "seed " + seed + ": deadline " + Math.round(settings.deadlineMs) + ", pin limit "
-                    + Math.round(settings.pinLimitMs) + ", first token " + settings.firstTokenMs + ", worst own lag "
+                    + Math.round(settings.pinLimitMs) + ", first token " + settings.firstTokenMs + ", group "
+                    + settings.keyScope + ", worst own lag "
                     + Math.round(fleet.ledger.worstLagMs()) + " ms; " + fleet.ledger.summary()
                     + (own > 0 ? "\n  gateways' own checks: " + own : "")
                     + (breaches > 0 ? "\n  troubles: " + String.join("; ", told) : "");
--- a/src/test/java/maplerail/soak/Ledger.java
+++ b/src/test/java/maplerail/soak/Ledger.java
@@ -16,7 +16,7 @@
 final class Ledger {
     /** What a gateway has to keep. */
     enum Rule {
-        FINAL_ANSWER, CONNECTION_CLOSED_OVER_A_REQUEST, WHOLE_STREAM, ONE_EFFECT, ONE_ATTEMPT_OUT, ATTEMPT_LIMIT, DRAIN, HELD_STATE, CLIENT_GONE, TOLD_DEADLINE, UNKNOWN_REQUEST, COLD_OVERLOAD, BAD_CLIENT, READY_IN_TIME, CRASH, SERVICE_AFTER_TROUBLE
+        FINAL_ANSWER, CONNECTION_CLOSED_OVER_A_REQUEST, WHOLE_STREAM, ONE_EFFECT, REPEAT_GROUP, REFUSAL, ONE_ATTEMPT_OUT, ATTEMPT_LIMIT, DRAIN, HELD_STATE, CLIENT_GONE, TOLD_DEADLINE, UNKNOWN_REQUEST, COLD_OVERLOAD, BAD_CLIENT, READY_IN_TIME, CRASH, SERVICE_AFTER_TROUBLE
     }
 
     /** How often a class may take effect. */
@@ -24,6 +24,14 @@
         PURE, KEYED, UNSAFE
     }
 
+    /** Which engines drop the repeats of keyed work. */
+    enum Scope {
+        ALL, ZONE, CELL
+    }
+
+    /** Where an engine stands. */
+    record Place(String zone, int cell) {}
+
     /** What the soak allows beside the rules, as its own threads run late on a busy machine. */
     private static final double OWN_SLACK_MS = 60;
     private static final double DRAIN_GRACE_MS = 300;
@@ -37,6 +45,8 @@
 
     private final double pinLimitMs;
     private final double keyWindowMs;
+    private final Scope keyScope;
+    private final Map<String, Place> places = new HashMap<>();
     private final int mostAttempts;
     private final Map<String, Request> requests = new HashMap<>();
     private final Map<String, Double> drainToldMs = new HashMap<>();
@@ -51,10 +61,16 @@
     private int refused;
     private int failed;
 
-    Ledger(double pinLimitMs, double keyWindowMs, int mostAttempts) {
-        this.pinLimitMs = pinLimitMs;
-        this.keyWindowMs = keyWindowMs;
-        this.mostAttempts = mostAttempts;
+    Ledger(SoakSettings settings) {
+        pinLimitMs = settings.pinLimitMs;
+        keyWindowMs = settings.keyWindowMs;
+        keyScope = settings.keyScope;
+        mostAttempts = settings.mostAttempts;
+    }
+
+    /** An engine stands there for good. */
+    synchronized void stands(String engine, Place at) {
+        places.put(engine, at);
     }
 
     static double nowMs() {
@@ -151,7 +167,10 @@
         request.note("answered: " + how);
         switch (how) {
             case "served" -> served++;
-            case "refused" -> refused++;
+            case "refused" -> {
+                refused++;
+                checkRefusal(request);
+            }
             default -> failed++;
         }
     }
@@ -251,13 +270,37 @@
         }
     }
 
+    /** Nothing follows what may have run, or only inside the group and the window of its class. */
     private void checkEffect(Request request, Attempt attempt) {
-        if (attempt.reader || request.repeat == Repeat.PURE) return;
-        request.attempts.stream().filter(a -> !a.reader && !a.neverRan).findFirst().ifPresent(first -> {
-            boolean inWindow = request.repeat == Repeat.KEYED && attempt.beganMs <= first.beganMs + keyWindowMs
-                    + OWN_SLACK_MS;
-            if (!inWindow) breach(Rule.ONE_EFFECT, request, "again at " + attempt.engine);
-        });
+        if (request.repeat == Repeat.PURE) return;
+        Attempt first = firstThatMayHaveRun(request);
+        if (first == null) return;
+        boolean inWindow = request.repeat == Repeat.KEYED && attempt.beganMs <= first.beganMs + keyWindowMs
+                + OWN_SLACK_MS;
+        if (!inWindow) breach(Rule.ONE_EFFECT, request, "again at " + attempt.engine);
+        else if (!sameGroup(first, attempt)) breach(Rule.REPEAT_GROUP, request, "again at " + attempt.engine);
+    }
+
+    private static Attempt firstThatMayHaveRun(Request request) {
+        return request.attempts.stream().filter(a -> !a.reader && !a.neverRan).findFirst().orElse(null);
+    }
+
+    private boolean sameGroup(Attempt first, Attempt later) {
+        Place at = places.get(first.engine);
+        Place then = places.get(later.engine);
+        return switch (keyScope) {
+            case ALL -> true;
+            case ZONE -> at.zone().equals(then.zone());
+            case CELL -> at.cell() == then.cell();
+        };
+    }
+
+    /** A refusal promises that trying again is harmless. */
+    private void checkRefusal(Request request) {
+        boolean dropped = request.repeat == Repeat.KEYED && keyScope == Scope.ALL;
+        if (request.repeat == Repeat.PURE || dropped) return;
+        Attempt first = firstThatMayHaveRun(request);
+        if (first != null) breach(Rule.REFUSAL, request, "though it may have run at " + first.engine);
     }
 
     synchronized void ended(Attempt attempt, String how, boolean neverRan) {
--- a/src/test/java/maplerail/soak/SoakFleet.java
+++ b/src/test/java/maplerail/soak/SoakFleet.java
@@ -18,6 +18,9 @@
     private static final int READERS = 5;
     private static final int WRITERS = 5;
     private static final int HELD_LOOK_MS = 20;
+    /** Two zones, one of them with two cells; each with readers and writers. */
+    private static final List<Ledger.Place> PLACES = List.of(new Ledger.Place("a", 0), new Ledger.Place("a", 1),
+            new Ledger.Place("b", 2));
 
     final Ledger ledger;
     final Directory directory = new Directory();
@@ -33,10 +36,11 @@
     }
 
     SoakFleet(SoakSettings settings, Path folder, Path shim, String command, SplittableRandom random) throws Exception {
-        ledger = new Ledger(settings.pinLimitMs, settings.keyWindowMs, settings.mostAttempts);
+        ledger = new Ledger(settings);
         for (int i = 0; i < READERS + WRITERS; i++) {
-            EngineStandIn engine = new EngineStandIn((i < READERS ? "r" : "w") + i, i < READERS, i % 2, ledger,
-                    settings);
+            EngineStandIn engine = new EngineStandIn((i < READERS ? "r" : "w") + i, i < READERS,
+                    PLACES.get(i % PLACES.size()), ledger, settings);
+            ledger.stands(engine.host, engine.place);
             engines.add(engine);
             directory.list(engine);
         }
--- a/src/test/java/maplerail/soak/SoakSettings.java
+++ b/src/test/java/maplerail/soak/SoakSettings.java
@@ -2,6 +2,7 @@
 
 import java.util.Locale;
 import java.util.SplittableRandom;
+import maplerail.soak.Ledger.Scope;
 
 /** The settings that a run's gateways are told, drawn from its seed within what the protocol page allows. */
 final class SoakSettings {
@@ -13,6 +14,8 @@
     final int firstTokenMs;
     final double pinLimitMs;
     final double keyWindowMs;
+    /** Which engines drop the repeats of keyed work. */
+    final Scope keyScope;
     final int mostAttempts = 6;
     final double startCapacity = 0.25;
     final double tipMultiple = 2.5;
@@ -30,6 +33,8 @@
         keyWindowMs = 1_500 + random.nextInt(2_500);
         warmAfterMs = 6_000 + random.nextInt(6_000);
         connIdleMs = 2_000 + random.nextInt(8_000);
+        // Drawn last, so that earlier seeds keep all else.
+        keyScope = Scope.values()[random.nextInt(Scope.values().length)];
     }
 
     String json() {
@@ -38,7 +43,7 @@
                 + "\"kindMemoryTokens\":[200000,150000],\"pinLimitMs\":%.1f,\"tokenAimMs\":[60.0,60.0,60.0]},"
                 + "\"lanes\":[%s,%s,%s],\"limits\":{\"cancel\":true,\"connIdleMs\":%.1f,\"connectTimeoutMs\":250.0,"
                 + "\"maxOpen\":20000,\"maxRetryAfterMs\":1000.0,\"retryAfter\":true,\"secondCopies\":false,\"sendCap\":%d},"
-                + "\"localities\":[\"a\"],\"shapes\":[\"prefill\",\"decode\"],\"parties\":[],"
+                + "\"localities\":[\"a\",\"b\"],\"shapes\":[\"prefill\",\"decode\"],\"parties\":[],"
                 + "\"rules\":{\"answerSlackMs\":16.0,\"startCapacity\":%.2f,\"tipMultiple\":%.1f,\"overloadForMs\":%.1f,"
                 + "\"warmAfterMs\":%.1f,\"mustAskInMs\":10000.0,\"drainGraceMs\":250.0}}", gateways, pinLimitMs,
                 lane("ask", "pure"), lane("move", "token"), lane("book", "side_effect"), connIdleMs, mostAttempts,
@@ -48,8 +53,7 @@
     private String lane(String name, String repeat) {
         return String.format(Locale.ROOT,
                 "{\"name\":\"%s\",\"goalTimeMs\":1000.0,\"deadlineMs\":%.1f,\"repeat\":\"%s\","
-                        + "\"keyScope\":\"all\",\"keyTtlMs\":%.1f,\"worth\":2.0,\"lateShare\":0.2,\"stream\":true}",
-                name, deadlineMs,
-                repeat, keyWindowMs);
+                        + "\"keyScope\":\"%s\",\"keyTtlMs\":%.1f,\"worth\":2.0,\"lateShare\":0.2,\"stream\":true}",
+                name, deadlineMs, repeat, keyScope.name().toLowerCase(Locale.ROOT), keyWindowMs);
     }
 }
