Charge a request for all that went by since its first byte can have been sent

What callers saw: engines were told deadlines of up to 1.2 s more than their clients had left, so they worked for nobody, and late refusals came after the client had gone.

Cause: a request's time started when PlatformFront had its whole body. What went by before was not charged: a head and body in pieces, the turn that it waited for, the socket's buffer and the backlog while the loop was behind or the process stood still. The one case that was, a failing accept, had a mechanism of its own.

Change: one arrival bound for each request. The loop knows since when nothing that is read now can have arrived (`inputSinceMs`): every 20 ms it puts a byte into a pipe of its own, and the round in which it reads that has seen all that was there before. ClientListener keeps it for each piece that is read of a connection, ArrivalLog finds the piece with the request's first byte, also behind pipelined ones, and the deadline, the told time, the guard and late refusals follow. `afterInput` uses the same barrier: it waited 5 ms and hoped that a round of timers would be over.

--- a/src/main/java/maplerail/cli/Gateway.java
+++ b/src/main/java/maplerail/cli/Gateway.java
@@ -269,6 +269,7 @@
         loop.execute(() -> {
             IoUtils.safeClose(server, rpcServer);
             listeners.forEach(ClientListener::close);
+            loop.close();
             worker.shutdownNow();
         });
     }
--- a/src/main/java/maplerail/core/Loop.java
+++ b/src/main/java/maplerail/core/Loop.java
@@ -11,6 +11,15 @@
     /** Runs a task once what has arrived by now has been read. */
     Alarm afterInput(Runnable task);
 
+    /**
+     * What is read now, of connections that are being read, had not arrived by this time: all that had has been handed
+     * on. On a loop that is in time this is a little before {@link #nowMs}; on one that is behind, long before.
+     */
+    double inputSinceMs();
+
+    /** The same for connections that come in now. */
+    double connectionsSinceMs();
+
     /** A task that waits for its time. */
     interface Alarm {
         /** Calls the task off; does nothing once it has run. */
--- a/src/main/java/maplerail/front/ClientListener.java
+++ b/src/main/java/maplerail/front/ClientListener.java
@@ -1,5 +1,6 @@
 package maplerail.front;
 
+import io.undertow.connector.PooledByteBuffer;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.ServerConnection;
 import io.undertow.server.protocol.http.HttpServerConnection;
@@ -63,8 +64,7 @@
     private static final class Tracked {
         State state = State.SILENT;
         double sinceMs;
-        /** Of its first request's time, what may have gone by before it was let in. */
-        double waitedMs;
+        final ArrivalLog arrivals = new ArrivalLog();
         /** When the last bytes came, and for how long the request that is arriving may go on if more keep coming. */
         double heardMs;
         double arriveMs = ARRIVE_MS;
@@ -79,15 +79,17 @@
         acceptFailedMs = loop.nowMs();
     }
 
-    private double waitedToGetIn() {
-        double now = loop.nowMs();
-        return now - acceptFailedMs < BACKLOG_MS ? now - acceptFailingSinceMs : 0;
+    /** A connection that comes in now had not been made by this time. */
+    private double connectedSinceMs() {
+        double sinceMs = loop.connectionsSinceMs();
+        boolean failed = loop.nowMs() - acceptFailedMs < BACKLOG_MS;
+        return failed ? Math.min(sinceMs, acceptFailingSinceMs) : sinceMs;
     }
 
-    /** For how long the client of a connection's first request may have waited to be let in. */
+    /** For how long the client of a request may have waited by now, from the request's first byte. */
     public double waitedMs(HttpServerExchange exchange) {
         Tracked client = find(exchange);
-        return client == null ? 0 : client.waitedMs;
+        return client == null ? 0 : Math.max(0, loop.nowMs() - client.arrivals.notBeforeMs());
     }
 
     /** A listener before the HTTP server's own, through which at most so many connections should be at once. */
@@ -102,37 +104,77 @@
     public void handleEvent(StreamConnection connection) {
         Tracked client = new Tracked();
         client.sinceMs = loop.nowMs();
-        client.waitedMs = waitedToGetIn();
         tracked.put(connection, client);
-        connection.getSourceChannel().setConduit(new Noticing(connection.getSourceChannel().getConduit(), client));
+        connection.getSourceChannel()
+                .setConduit(new Noticing(connection.getSourceChannel().getConduit(), client, connectedSinceMs()));
         if (!looking) loop.at(loop.nowMs() + LOOK_MS, this::look);
         looking = true;
         next.handleEvent(connection);
     }
 
-    /** Sees the first byte of what comes, so that a connection with a request on its way does not count as idle. */
+    /**
+     * Sees what is read, and from when it can be: a connection with a request on its way does not count as idle, and a
+     * request's time runs from when it was sent, not from when this program came to read it.
+     */
     private final class Noticing extends AbstractStreamSourceConduit<StreamSourceConduit> {
         private final Tracked client;
+        /** When it was last known that nothing had come which was not read. */
+        private double emptyMs;
+        /** Since when all that comes is read as soon as the loop comes to it; infinite while it is not. */
+        private double resumedMs = Double.POSITIVE_INFINITY;
 
-        Noticing(StreamSourceConduit from, Tracked client) {
+        Noticing(StreamSourceConduit from, Tracked client, double connectedSinceMs) {
             super(from);
             this.client = client;
+            this.emptyMs = connectedSinceMs;
         }
 
         @Override
         public int read(ByteBuffer into) throws IOException {
+            double nowMs = loop.nowMs();
             int count = super.read(into);
-            if (count > 0) came();
+            came(count, nowMs);
             return count;
         }
 
         @Override
         public long read(ByteBuffer[] into, int offset, int length) throws IOException {
+            double nowMs = loop.nowMs();
             long count = super.read(into, offset, length);
-            if (count > 0) came();
+            came(count, nowMs);
             return count;
         }
 
+        @Override
+        public void resumeReads() {
+            resumed();
+            super.resumeReads();
+        }
+
+        @Override
+        public void wakeupReads() {
+            resumed();
+            super.wakeupReads();
+        }
+
+        private void resumed() {
+            if (resumedMs == Double.POSITIVE_INFINITY) resumedMs = loop.nowMs();
+        }
+
+        @Override
+        public void suspendReads() {
+            resumedMs = Double.POSITIVE_INFINITY;
+            super.suspendReads();
+        }
+
+        private void came(long count, double beforeMs) {
+            double sinceMs = loop.inputSinceMs();
+            if (resumedMs <= sinceMs) emptyMs = Math.max(emptyMs, sinceMs);
+            if (count > 0) client.arrivals.read(count, emptyMs);
+            if (count > 0) came();
+            if (count == 0) emptyMs = beforeMs;
+        }
+
         private void came() {
             client.heardMs = loop.nowMs();
             // A new connection's time to get its request in runs from its start: it may be fed a byte at a time.
@@ -146,11 +188,17 @@
         exchange.addExchangeCompleteListener((done, proceed) -> {
             set(done, State.IDLE);
             Tracked client = find(done);
-            if (client != null) client.waitedMs = 0;
+            if (client != null) client.arrivals.requestEnded(unread((HttpServerConnection) done.getConnection()));
             proceed.proceed();
         });
     }
 
+    /** What the server has of the requests behind the present one. */
+    private static int unread(HttpServerConnection connection) {
+        PooledByteBuffer extra = connection.getExtraBytes();
+        return extra == null ? 0 : extra.getBuffer().remaining();
+    }
+
     /** A request's head is sound, and its client waits for so long: a body that keeps coming may take that time. */
     public void arriving(HttpServerExchange exchange, double budgetMs) {
         Tracked client = find(exchange);
--- a/src/main/java/maplerail/net/XnioLoop.java
+++ b/src/main/java/maplerail/net/XnioLoop.java
@@ -1,5 +1,7 @@
 package maplerail.net;
 
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import maplerail.core.Loop;
@@ -7,15 +9,31 @@
 import org.xnio.XnioIoThread;
 
 /** The broker's loop on an XNIO thread: everything that it owns runs there and needs no locks. */
-public final class XnioLoop implements Loop {
-    private static final long INPUT_MS = 5; // more than a round of due tasks takes
+public final class XnioLoop implements Loop, AutoCloseable {
+    /** Between two looks at what has arrived: what a request or an answer may seem to be older than it is. */
+    private static final double LOOK_MS = 20;
+    /** Between two looks, from which this process may have stood still. */
+    private static final double STANDSTILL_MS = 60;
+    /** After a standstill, in which the thread that accepts connections has come to all that waited. */
+    private static final double CATCH_UP_MS = 100;
+
     private final XnioIoThread thread;
     private final long startNanos = System.nanoTime();
     private final double startMs = System.currentTimeMillis();
+    private final InputBarrier barrier;
+    private double inputSinceMs = startMs;
+    private double stoodStillSinceMs;
+    private double catchUpUntilMs = Double.NEGATIVE_INFINITY;
 
     /** Makes the loop of a thread. */
     public XnioLoop(XnioIoThread thread) {
         this.thread = thread;
+        try {
+            barrier = new InputBarrier(thread);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        execute(this::look);
     }
 
     /** The thread. */
@@ -28,6 +46,26 @@
         return startMs + (System.nanoTime() - startNanos) / 1e6;
     }
 
+    private void look() {
+        double lookMs = nowMs();
+        if (lookMs - inputSinceMs > STANDSTILL_MS && lookMs > catchUpUntilMs) stoodStillSinceMs = inputSinceMs;
+        if (lookMs - inputSinceMs > STANDSTILL_MS) catchUpUntilMs = lookMs + CATCH_UP_MS;
+        barrier.pass(() -> {
+            inputSinceMs = lookMs;
+            at(nowMs() + LOOK_MS, this::look);
+        });
+    }
+
+    @Override
+    public double inputSinceMs() {
+        return inputSinceMs;
+    }
+
+    @Override
+    public double connectionsSinceMs() {
+        return nowMs() < catchUpUntilMs ? stoodStillSinceMs : inputSinceMs;
+    }
+
     @Override
     public Alarm at(double whenMs, Runnable task) {
         long millis = (long) Math.ceil(Math.max(0, whenMs - nowMs())); // the thread cuts off parts of one
@@ -39,13 +77,11 @@
         }
     }
 
-    /**
-     * The thread runs all tasks that are due before it reads anything: after a pause, a time limit would otherwise be
-     * over before it is seen that it was kept.
-     */
     @Override
     public Alarm afterInput(Runnable task) {
-        return at(nowMs() + INPUT_MS, task);
+        CancellableTask one = new CancellableTask(task);
+        barrier.pass(one);
+        return one::cancel;
     }
 
     /** Runs a task soon, from any thread; not at all once the thread is stopping. */
@@ -56,4 +92,26 @@
             return;
         }
     }
+
+    @Override
+    public void close() {
+        barrier.close();
+    }
+
+    private static final class CancellableTask implements Runnable {
+        private Runnable task;
+
+        CancellableTask(Runnable task) {
+            this.task = task;
+        }
+
+        void cancel() {
+            task = null;
+        }
+
+        @Override
+        public void run() {
+            if (task != null) task.run();
+        }
+    }
 }
--- /dev/null
+++ b/src/test/java/maplerail/front/ArrivalLogTest.java
@@ -0,0 +1,42 @@
+package maplerail.front;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+/** Guards against a request's time that starts later than its client sent it. */
+class ArrivalLogTest {
+    private final ArrivalLog log = new ArrivalLog();
+
+    @Test
+    void aRequestInPiecesRunsFromItsFirstByte() {
+        log.read(100, 10);
+        log.read(50, 30);
+        log.read(50, 60);
+        assertThat(log.notBeforeMs()).isEqualTo(10);
+        log.requestEnded(0);
+        log.read(20, 500);
+        assertThat(log.notBeforeMs()).isEqualTo(500);
+    }
+
+    @Test
+    void aRequestThatWasReadBehindAnotherRunsFromItsOwnFirstByte() {
+        log.read(100, 10);
+        log.read(100, 30);
+        log.read(100, 60);
+        log.requestEnded(150);
+        assertThat(log.notBeforeMs()).as("its first byte is the 150th").isEqualTo(30);
+        log.requestEnded(100);
+        assertThat(log.notBeforeMs()).isEqualTo(60);
+        log.requestEnded(0);
+        log.read(1, 70);
+        assertThat(log.notBeforeMs()).isEqualTo(70);
+    }
+
+    @Test
+    void nothingReadIsNoTime() {
+        assertThat(log.notBeforeMs()).isInfinite();
+        log.requestEnded(0);
+        assertThat(log.notBeforeMs()).isInfinite();
+    }
+}
--- a/src/test/java/maplerail/front/RequestTurnsTest.java
+++ b/src/test/java/maplerail/front/RequestTurnsTest.java
@@ -28,6 +28,16 @@
             afterInput.add(task);
             return () -> afterInput.remove(task);
         }
+
+        @Override
+        public double inputSinceMs() {
+            return nowMs();
+        }
+
+        @Override
+        public double connectionsSinceMs() {
+            return nowMs();
+        }
     });
 
     private void arrive(int request) {
--- a/src/test/java/maplerail/support/ManualLoop.java
+++ b/src/test/java/maplerail/support/ManualLoop.java
@@ -8,6 +8,9 @@
     public double now = 1_000;
     private final PriorityQueue<Due> due = new PriorityQueue<>((a, b) -> Double.compare(a.at, b.at));
 
+    /** For how long what is read now may have lain unread. */
+    public double behindMs;
+
     private record Due(double at, Runnable task) {}
 
     @Override
@@ -27,6 +30,16 @@
         return at(now, task);
     }
 
+    @Override
+    public double inputSinceMs() {
+        return now - behindMs;
+    }
+
+    @Override
+    public double connectionsSinceMs() {
+        return now - behindMs;
+    }
+
     /** Moves the clock, running the tasks that come due on the way. */
     public void until(double time) {
         while (!due.isEmpty() && due.peek().at <= time) {
--- a/src/test/java/maplerail/support/World.java
+++ b/src/test/java/maplerail/support/World.java
@@ -175,6 +175,17 @@
         }
     }
 
+    /** Reads a connection until a text has come, or it ends; returns all that came. */
+    public static String readUntil(Socket socket, String text) throws IOException {
+        StringBuilder came = new StringBuilder();
+        InputStream in = socket.getInputStream();
+        for (int c = in.read(); c >= 0; c = in.read()) {
+            came.append((char) c);
+            if (came.indexOf(text, came.length() - text.length()) >= 0) break;
+        }
+        return came.toString();
+    }
+
     public static String readAll(InputStream in) {
         StringBuilder text = new StringBuilder();
         try {
