Count leases, drains and repeat windows from what can have arrived, not from its handling

An attempt that begins while the loop has not read for 50 ms waits until all that has come by then is read, and asks once more for its engine, its client and its time. - The window of a repeat that waits for its connection was kept by a timer alone, which may be late. It is asked for at the first byte, too.

LostWriteTest, PoolTest and RuleChecksTest have a test for each; all three fail with the change undone.

--- a/src/main/java/maplerail/core/AttemptRunner.java
+++ b/src/main/java/maplerail/core/AttemptRunner.java
@@ -69,7 +69,8 @@
         }
         repeats.tell(attempt);
         attempt.timeout = loop.at(until, () -> cut(attempt, Outcome.TIMEOUT));
-        attempt.sending = engines.send(order.engine(), active.request, until, () -> mayBegin(attempt),
+        attempt.sending = engines.send(order.engine(), active.request, until,
+                () -> mayBegin(attempt, order.startByMs()),
                 new Engines.Answer() {
                     @Override
                     public void event(byte[] event) {
@@ -98,14 +99,16 @@
 
     /**
      * Asked right before an attempt that has waited for its connection is written. Guards against a client that left
-     * in the same moment, and against news of its engine that came meanwhile.
+     * in the same moment, against news of its engine that came meanwhile, and against a repeat after its window, as the
+     * timer that withdraws it may be late.
      */
-    private boolean mayBegin(ActiveRequest.Attempt attempt) {
+    private boolean mayBegin(ActiveRequest.Attempt attempt, double startByMs) {
         ActiveRequest active = attempt.active;
         if (!active.answered && active.caller.hasLeft()) gone.accept(active);
         if (attempt.ended) return false;
         Reason verdict = ProtocolRules.begin(active.state(settings.classes()), fleet.target(attempt.engine),
                 loop.nowMs());
+        if (verdict == Reason.ALLOWED && loop.nowMs() >= startByMs) verdict = Reason.REPEAT_WINDOW_OVER;
         if (verdict == Reason.ALLOWED) return true;
         counters.count(verdict);
         cut(attempt, Outcome.CANCELLED);
--- a/src/main/java/maplerail/core/HeldStates.java
+++ b/src/main/java/maplerail/core/HeldStates.java
@@ -63,9 +63,9 @@
         this.limit = new LineLimit(loop);
     }
 
-    /** A reader says that it holds a state from now on. */
+    /** A reader says that it holds a state. Its answer may have lain unread: the lease begins when it can have come. */
     void granted(ActiveRequest active, long engine) {
-        StateLease lease = new StateLease(termMs, loop.nowMs());
+        StateLease lease = new StateLease(termMs, loop.inputSinceMs());
         active.holds.put(engine, lease);
         active.mayHold.add(engine);
         loop.at(lease.expiresMs(), () -> expired(active, engine, lease));
@@ -73,7 +73,7 @@
 
     /** An attempt has ended: an answer of its engine proves that it was out until now. */
     void attemptEnded(ActiveRequest active, Router.Outcome outcome) {
-        active.holds.values().forEach(lease -> lease.attemptEnded(outcome, loop.nowMs()));
+        active.holds.values().forEach(lease -> lease.attemptEnded(outcome, loop.inputSinceMs()));
         if (active.anyOut()) return;
         // An engine keeps what a write waits for that has arrived after all: its time begins with the end of that.
         if (outcome != Router.Outcome.STATE_GONE) active.reclaimed.forEach(engine -> granted(active, engine));
--- a/src/main/java/maplerail/net/Call.java
+++ b/src/main/java/maplerail/net/Call.java
@@ -35,6 +35,8 @@
     private double connectUntilMs;
     private final double startMs;
     private double connectedMs;
+    private long receivedBytes;
+    private double receivedMs;
     private boolean wrote;
     private boolean paused;
     private boolean reading;
@@ -82,7 +84,11 @@
         String written = bytes == null ? "not written" : "written " + bytes.position() + " of " + bytes.limit();
         if (link == null && bytes == null) return written + ", waits for a connection";
         String came = reused ? " on a kept connection" : " on a new connection";
-        return written + came + " after " + Math.round(connectedMs - startMs) + " ms, status " + reader.status();
+        String answer = receivedBytes == 0 ? ""
+                : ", " + receivedBytes + " bytes, last " + Math.round(pool.loop().nowMs() - receivedMs) + " ms ago"
+                        + (paused ? ", paused" : "");
+        return written + came + " after " + Math.round(connectedMs - startMs) + " ms, status " + reader.status()
+                + answer;
     }
 
     /** True while nothing has been written. */
@@ -120,6 +126,11 @@
         disconnect = cancel;
     }
 
+    /** It does not begin at once, and so asks before its first byte whether it may still. */
+    void hasToAsk() {
+        waited = true;
+    }
+
     /** Until when its connection has to come up: as told, but a further try does not put it off. */
     double connectUntilMs(double atMost) {
         if (!faultedHere) connectUntilMs = atMost;
@@ -191,7 +202,11 @@
                     within();
                     return;
                 }
-                if (count > 0) reader.feed(buffer.flip());
+                if (count > 0) {
+                    receivedBytes += count;
+                    receivedMs = pool.loop().nowMs();
+                    reader.feed(buffer.flip());
+                }
                 if (done) return;
                 if (count < 0 && !reader.ended()) throw new IOException("the connection ended within the answer");
                 if (reader.done()) end(count > 0 && !buffer.hasRemaining());
--- a/src/main/java/maplerail/net/Pool.java
+++ b/src/main/java/maplerail/net/Pool.java
@@ -32,6 +32,8 @@
     private static final double SWEEP_MS = 1_000;
     private static final double FAULT_PAUSE_MS = 20; // between two tries while this machine cannot connect
     private static final double FAULT_LOG_MS = 1_000;
+    /** For which what has come may lie unread when an attempt is begun; with the grace of a drain it has to be short. */
+    private static final double UNREAD_MS = 50;
     private static final OptionMap OPTIONS = OptionMap.builder().set(Options.TCP_NODELAY, true).getMap();
 
     private final XnioLoop loop;
@@ -98,6 +100,23 @@
     }
 
     private Call start(InetSocketAddress to, Call call) {
+        if (call.urgent() || loop.nowMs() - loop.inputSinceMs() < UNREAD_MS) beginOrQueue(to, call);
+        else beginAfterInput(to, call);
+        return call;
+    }
+
+    /**
+     * Guards against a loop that is behind: news that this engine drains, or the close of the client, may have come and
+     * lie unread.
+     */
+    private void beginAfterInput(InetSocketAddress to, Call call) {
+        call.hasToAsk();
+        loop.afterInput(() -> {
+            if (!call.done()) beginOrQueue(to, call);
+        });
+    }
+
+    private void beginOrQueue(InetSocketAddress to, Call call) {
         if (!begin(to, call)) {
             ArrayDeque<Call> waiting = queued.computeIfAbsent(to, t -> new ArrayDeque<>());
             // Guards against a release that waits behind a crowd of reads until what it lets go counts as pinned.
@@ -106,7 +125,6 @@
             call.connecting(loop.at(call.connectUntilMs(loop.nowMs() + connectMs), () -> later(call)), () -> {});
             if (faultPause()) call.faultedHere();
         }
-        return call;
     }
 
     private boolean begin(InetSocketAddress to, Call call) {
--- a/src/test/java/maplerail/core/LostWriteTest.java
+++ b/src/test/java/maplerail/core/LostWriteTest.java
@@ -112,4 +112,14 @@
         rig.loop.until(readEndedMs + 2 * PIN_LIMIT_MS);
         assertThat(rig.releasedAtMs).containsExactly(readEndedMs + 1.8 * PIN_LIMIT_MS);
     }
+
+    /** The reader's time runs from its answer, whenever this program comes to read that. */
+    @Test
+    void theLeaseBeginsWhenTheAnswerCanHaveComeThoughTheLoopIsBehind() {
+        rig.loop.behindMs = 0.4 * PIN_LIMIT_MS;
+        writeOut(1);
+        double readAnsweredMs = rig.loop.now - rig.loop.behindMs;
+        rig.loop.until(rig.loop.now + PIN_LIMIT_MS);
+        assertThat(rig.releasedAtMs).containsExactly(readAnsweredMs + PIN_LIMIT_MS);
+    }
 }
--- a/src/test/java/maplerail/core/RuleChecksTest.java
+++ b/src/test/java/maplerail/core/RuleChecksTest.java
@@ -91,4 +91,16 @@
         assertThat(rig.permits.get(0).getAsBoolean()).isFalse();
         assertThat(rig.aborted).isTrue();
     }
+
+    /** The timer that withdraws it may be late, as the loop is behind. */
+    @Test
+    void anAttemptThatWaitedForItsConnectionDoesNotBeginAfterItsWindow() {
+        rig.unsent = true;
+        double windowEndMs = rig.loop.now + 100;
+        rig.take("a1", new Router.Send(1, WRITER, LONG_MS, windowEndMs));
+        rig.loop.now = windowEndMs;
+        assertThat(rig.permits.get(0).getAsBoolean()).isFalse();
+        assertThat(counted(Reason.REPEAT_WINDOW_OVER)).isEqualTo(1);
+        assertThat(rig.aborted).isTrue();
+    }
 }
--- a/src/test/java/maplerail/net/PoolTest.java
+++ b/src/test/java/maplerail/net/PoolTest.java
@@ -271,6 +271,35 @@
         }
     }
 
+    /** News that its engine drains, or its client's close, may lie unread. */
+    @Test
+    void anAttemptThatBeginsWhileTheLoopIsBehindAsksOnceAllThatHasComeIsRead() throws Exception {
+        CountDownLatch asked = new CountDownLatch(1);
+        CountDownLatch tell = new CountDownLatch(1);
+        try (StandIn server = new StandIn(x -> x.reply(200, ""));
+                StandIn news = new StandIn(x -> {
+                    asked.countDown();
+                    tell.await();
+                    x.reply(200, "");
+                })) {
+            Pool pool = pool(30_000);
+            assertThat(post(pool, server.socketAddress())).as("there is a kept connection").isEqualTo("end");
+            InetSocketAddress from = news.socketAddress();
+            loop.execute(() -> pool.start(from, Requests.to(from, Methods.GET, "/"), new byte[0], new Heard(heard)));
+            asked.await();
+            loop.execute(() -> {
+                tell.countDown();
+                double stoppedMs = loop.nowMs();
+                while (loop.nowMs() < stoppedMs + 300) Thread.onSpinWait();
+                InetSocketAddress to = server.socketAddress();
+                pool.start(to, () -> request(to), "{}".getBytes(), () -> heard.add("asked"), new Heard(heard));
+            });
+            assertThat(take(heard)).as("the news").isEqualTo("end");
+            assertThat(take(heard)).isEqualTo("asked");
+            assertThat(take(heard)).isEqualTo("end");
+        }
+    }
+
     /** A connection that comes up too late is kept for others; what gave up on it is not written. */
     @Test
     void whatWaitedTooLongForItsConnectionIsNeverWritten() throws Exception {
