Let the soak's clients send in pieces and a crowd ask at once

One request in six goes out in three pieces with pauses of up to a quarter of its time, and half of the idle crowds send 60 requests together; their answers are judged like all others.

--- a/src/test/java/maplerail/soak/LoadClients.java
+++ b/src/test/java/maplerail/soak/LoadClients.java
@@ -23,6 +23,8 @@
     private static final int BAD_LIMIT_MS = 3_000;
     private static final int OWN_SLACK_MS = 150;
     private static final int STREAM_LIMIT_MS = 15_000;
+    private static final int IN_PIECES_EVERY = 6; // requests, of which one is sent in pieces
+    private static final double MOST_PAUSE_SHARE = 0.25; // of a request's time, between two of its pieces
     private static final AtomicLong LAST_ID = new AtomicLong();
     private static final List<String> BAD = List.of("POST / HTTP/1.1\r\nReq-", "nonsense\r\n\r\n",
             "POST /v1/x HTTP/1.1\r\nHost: x\r\nContent-Length: -5\r\n\r\n",
@@ -86,14 +88,10 @@
             Ledger.Repeat.UNSAFE);
 
     private void one(int choice, int leaveAfterMs, boolean counted) throws Exception {
-        String id = String.format(Locale.ROOT, "%s-%06x", gateway.name, LAST_ID.incrementAndGet());
+        String id = nextId();
         int kind = choice % KINDS.size();
         double budgetMs = settings.deadlineMs * (0.7 + choice % 1_000 / 1_000.0 * 0.7);
-        String body = "{\"stream\":true,\"messages\":[]}";
-        String text = String.format(Locale.ROOT, "POST /v1/chat/completions HTTP/1.1\r\nHost: app.svc\r\nReq-Id: %s\r\n"
-                + "Req-Kind: %s\r\nReq-Key: %016x\r\nReq-Deadline: %.3f\r\nReq-Extra: prompt_len=%d,max_out=60\r\n"
-                + "Content-Length: %d\r\n\r\n%s", id, KINDS.get(kind), choice, budgetMs / 1_000, 200 + choice % 2_000,
-                body.length(), body);
+        String text = text(id, choice, budgetMs);
         Socket kept = idle.pollFirst();
         Ledger.Request request = ledger.sent(id, REPEATS.get(kind), gateway.name, budgetMs);
         if (counted) quietSent.incrementAndGet();
@@ -118,7 +116,8 @@
         Answer answer = new Answer();
         if (leaveAfterMs > 0) leaveLater(socket, request, leaveAfterMs, answer);
         try {
-            socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+            send(socket, request, text);
+            answer.sent = true;
             answer.read(socket, request);
         } catch (SocketTimeoutException e) {
             if (!answer.left) overdue(request, answer);
@@ -135,6 +134,41 @@
         return true;
     }
 
+    /** Sends a request in one piece, or in three, with pauses within its head and before its body. */
+    private void send(Socket socket, Ledger.Request request, String text) throws Exception {
+        int draw = request.id.hashCode() & Integer.MAX_VALUE;
+        int head = text.indexOf("\r\n\r\n") + 4;
+        List<Integer> ends = draw % IN_PIECES_EVERY == 0 ? List.of(head / 2, head, text.length())
+                : List.of(text.length());
+        double pauseMs = (request.deadlineMs - request.sentMs) * MOST_PAUSE_SHARE * (draw % 97) / 97;
+        int from = 0;
+        for (int end : ends) {
+            if (from > 0) Thread.sleep((long) pauseMs);
+            socket.getOutputStream().write(text.substring(from, end).getBytes(StandardCharsets.UTF_8));
+            from = end;
+        }
+    }
+
+    /** One more request on a connection that is open, as one of a crowd that asks. */
+    void ask(Socket socket) throws Exception {
+        int choice = LAST_ID.intValue() & 0xfffff;
+        Ledger.Request request = ledger.sent(nextId(), REPEATS.get(choice % KINDS.size()), gateway.name,
+                settings.deadlineMs);
+        attempt(socket, request, text(request.id, choice, settings.deadlineMs), 0, false, false);
+    }
+
+    private String nextId() {
+        return String.format(Locale.ROOT, "%s-%06x", gateway.name, LAST_ID.incrementAndGet());
+    }
+
+    private static String text(String id, int choice, double budgetMs) {
+        String body = "{\"stream\":true,\"messages\":[]}";
+        return String.format(Locale.ROOT, "POST /v1/chat/completions HTTP/1.1\r\nHost: app.svc\r\nReq-Id: %s\r\n"
+                + "Req-Kind: %s\r\nReq-Key: %016x\r\nReq-Deadline: %.3f\r\nReq-Extra: prompt_len=%d,max_out=60\r\n"
+                + "Content-Length: %d\r\n\r\n%s", id, KINDS.get(choice % KINDS.size()), choice, budgetMs / 1_000,
+                200 + choice % 2_000, body.length(), body);
+    }
+
     private void leaveLater(Socket socket, Ledger.Request request, int afterMs, Answer answer) {
         Daemon.start("leaver", () -> {
             Thread.sleep(afterMs);
@@ -153,6 +187,10 @@
     }
 
     private void closed(Ledger.Request request, Answer answer) {
+        if (!answer.sent) {
+            ledger.answered(request, "closed before it was whole"); // it was never taken
+            return;
+        }
         if (gateway.hasReadFaults()) {
             ledger.answered(request, "closed by a fault of the network");
             return;
@@ -213,6 +251,8 @@
     private final class Answer {
         volatile boolean left;
         volatile boolean done;
+        /** The last byte of the request has been written. */
+        boolean sent;
         int status;
         double firstMs;
         boolean keepAlive = true;
--- a/src/test/java/maplerail/soak/SoakFleet.java
+++ b/src/test/java/maplerail/soak/SoakFleet.java
@@ -1,6 +1,7 @@
 package maplerail.soak;
 
 import java.io.IOException;
+import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -115,6 +116,12 @@
         }
     }
 
+    /** Has a request sent on each of these connections to a gateway, and its answer judged like any other. */
+    void askAtOnce(GatewayProcess gateway, List<Socket> crowd) {
+        LoadClients asking = clients.get(gateways.indexOf(gateway));
+        for (Socket socket : crowd) Daemon.start("crowd", () -> asking.ask(socket));
+    }
+
     List<DiscoveryAgent> agents() {
         return gateways.stream().map(GatewayProcess::agent).toList();
     }
--- a/src/test/java/maplerail/soak/Trouble.java
+++ b/src/test/java/maplerail/soak/Trouble.java
@@ -122,10 +122,15 @@
         @Override
         void play(SoakFleet fleet, SplittableRandom random) throws Exception {
             int forMs = 1_000 + random.nextInt(2_000);
+            boolean asks = random.nextBoolean();
             withOneGateway(fleet, random, gateway -> {
                 List<Socket> crowd = new ArrayList<>();
                 try {
                     for (int i = 0; i < CROWD; i++) crowd.add(new Socket("127.0.0.1", gateway.port));
+                    // Those that ask look after their connections themselves.
+                    List<Socket> asking = asks ? List.copyOf(crowd.subList(0, CROWD_ASKS)) : List.of();
+                    crowd.removeAll(asking);
+                    fleet.askAtOnce(gateway, asking);
                     TimeUnit.MILLISECONDS.sleep(forMs);
                 } catch (IOException e) {
                     return; // it was not up
@@ -224,6 +229,7 @@
     private static final int STALL_MS = 120; // with what the signals take, up to 150
     private static final int MOST_IN_TURN = 3;
     private static final int CROWD = 150; // idle clients: over half of the places of one gateway
+    private static final int CROWD_ASKS = 60; // of them, in some runs, all at once
 
     /** Something that is done to a gateway. */
     interface GatewayTrouble {
