Let a soak client that sends once more on a new connection tell what it has left

With requests in pieces the first connection may end after a part of its time has gone by. The check is unchanged; the second try is noted in the time line.

--- a/src/test/java/maplerail/soak/LoadClients.java
+++ b/src/test/java/maplerail/soak/LoadClients.java
@@ -97,8 +97,16 @@
         if (counted) quietSent.incrementAndGet();
         boolean done = kept != null && attempt(kept, request, text, leaveAfterMs, counted, true);
         if (done) return;
+        double leftMs = request.deadlineMs - Ledger.nowMs();
+        if (leftMs <= 0) {
+            ledger.answered(request, "given up between two connections");
+            return;
+        }
+        // Some of its time may have gone by with pieces on the first connection.
+        String again = kept == null ? text : text(id, choice, leftMs);
+        if (kept != null) ledger.note(request, "sent once more on a new connection");
         try {
-            attempt(connect(), request, text, leaveAfterMs, counted, false);
+            attempt(connect(), request, again, leaveAfterMs, counted, false);
         } catch (IOException e) {
             ledger.answered(request, "no connection"); // it was never taken
         }
