--- a/src/main/java/maplerail/core/AttemptRunner.java
+++ b/src/main/java/maplerail/core/AttemptRunner.java
@@ -11,7 +11,8 @@
 
 /** Makes the attempts that the module asks for, ends them, and tells how each one ended. */
 final class AttemptRunner {
-    private static final double STALL_MS = 3_000; // without an event, after which a stream has stopped
+    /** Without an event, after which a stream has stopped: clients are owed its end within 5 s. */
+    private static final double STALL_MS = 4_500;
     /** That an attempt is left open after its request's answer while the reader of its state is out of reach. */
     private static final double LINGER_MS = 8_000;
     private static final Router.Load UNTOLD = new Router.Load(Double.NaN);
