Stop noting arrivals on connections that a session took over, and split the conduit off

ArrivalLog would have grown with each message of a session at the tools' front, as no request ends there; its test fails without the change. ArrivalConduit moves out of ClientListener, which had grown large.

--- a/src/main/java/maplerail/front/ArrivalLog.java
+++ b/src/main/java/maplerail/front/ArrivalLog.java
@@ -9,12 +9,14 @@
 final class ArrivalLog {
     private final ArrayDeque<Piece> pieces = new ArrayDeque<>();
     private long received;
+    private boolean stopped;
 
     /** Bytes from an offset in all that the client has sent, none of which had been sent by some time. */
     private record Piece(long offset, double notBeforeMs) {}
 
     /** More bytes were read, none of which had been sent by some time. */
     void read(long count, double notBeforeMs) {
+        if (stopped) return;
         if (pieces.isEmpty() || pieces.peekLast().notBeforeMs != notBeforeMs) {
             pieces.addLast(new Piece(received, notBeforeMs));
         }
@@ -27,6 +29,17 @@
         while (!pieces.isEmpty() && endOfFirst() <= next) pieces.pollFirst();
     }
 
+    /** What comes from now on is not made up of requests: nothing more is noted. */
+    void stop() {
+        stopped = true;
+        pieces.clear();
+    }
+
+    /** Pieces that are remembered. */
+    int size() {
+        return pieces.size();
+    }
+
     private long endOfFirst() {
         Piece first = pieces.pollFirst();
         long end = pieces.isEmpty() ? received : pieces.peekFirst().offset;
--- a/src/main/java/maplerail/front/ClientListener.java
+++ b/src/main/java/maplerail/front/ClientListener.java
@@ -20,7 +20,6 @@
 import org.xnio.ChannelListener;
 import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
-import org.xnio.conduits.AbstractStreamSourceConduit;
 import org.xnio.conduits.StreamSourceConduit;
 
 /**
@@ -105,82 +104,20 @@
         Tracked client = new Tracked();
         client.sinceMs = loop.nowMs();
         tracked.put(connection, client);
-        connection.getSourceChannel()
-                .setConduit(new Noticing(connection.getSourceChannel().getConduit(), client, connectedSinceMs()));
+        StreamSourceConduit source = connection.getSourceChannel().getConduit();
+        connection.getSourceChannel().setConduit(
+                new ArrivalConduit(source, loop, client.arrivals, connectedSinceMs(), () -> came(client)));
         if (!looking) loop.at(loop.nowMs() + LOOK_MS, this::look);
         looking = true;
         next.handleEvent(connection);
     }
 
-    /**
-     * Sees what is read, and from when it can be: a connection with a request on its way does not count as idle, and a
-     * request's time runs from when it was sent, not from when this program came to read it.
-     */
-    private final class Noticing extends AbstractStreamSourceConduit<StreamSourceConduit> {
-        private final Tracked client;
-        /** When it was last known that nothing had come which was not read. */
-        private double emptyMs;
-        /** Since when all that comes is read as soon as the loop comes to it; infinite while it is not. */
-        private double resumedMs = Double.POSITIVE_INFINITY;
-
-        Noticing(StreamSourceConduit from, Tracked client, double connectedSinceMs) {
-            super(from);
-            this.client = client;
-            this.emptyMs = connectedSinceMs;
-        }
-
-        @Override
-        public int read(ByteBuffer into) throws IOException {
-            double nowMs = loop.nowMs();
-            int count = super.read(into);
-            came(count, nowMs);
-            return count;
-        }
-
-        @Override
-        public long read(ByteBuffer[] into, int offset, int length) throws IOException {
-            double nowMs = loop.nowMs();
-            long count = super.read(into, offset, length);
-            came(count, nowMs);
-            return count;
-        }
-
-        @Override
-        public void resumeReads() {
-            resumed();
-            super.resumeReads();
-        }
-
-        @Override
-        public void wakeupReads() {
-            resumed();
-            super.wakeupReads();
-        }
-
-        private void resumed() {
-            if (resumedMs == Double.POSITIVE_INFINITY) resumedMs = loop.nowMs();
-        }
-
-        @Override
-        public void suspendReads() {
-            resumedMs = Double.POSITIVE_INFINITY;
-            super.suspendReads();
-        }
-
-        private void came(long count, double beforeMs) {
-            double sinceMs = loop.inputSinceMs();
-            if (resumedMs <= sinceMs) emptyMs = Math.max(emptyMs, sinceMs);
-            if (count > 0) client.arrivals.read(count, emptyMs);
-            if (count > 0) came();
-            if (count == 0) emptyMs = beforeMs;
-        }
-
-        private void came() {
-            client.heardMs = loop.nowMs();
-            // A new connection's time to get its request in runs from its start: it may be fed a byte at a time.
-            if (client.state == State.IDLE) client.sinceMs = loop.nowMs();
-            if (client.state == State.IDLE || client.state == State.SILENT) client.state = State.ARRIVING;
-        }
+    /** Bytes were read: a connection with a request on its way does not count as idle. */
+    private void came(Tracked client) {
+        client.heardMs = loop.nowMs();
+        // A new connection's time to get its request in runs from its start: it may be fed a byte at a time.
+        if (client.state == State.IDLE) client.sinceMs = loop.nowMs();
+        if (client.state == State.IDLE || client.state == State.SILENT) client.state = State.ARRIVING;
     }
 
     /** A request's head is whole; its connection is idle again once the request is answered to the last byte. */
@@ -213,6 +150,8 @@
     /** The connection is no longer one of requests and answers; whoever took it over looks after it. */
     public void keep(HttpServerExchange exchange) {
         set(exchange, State.KEPT);
+        Tracked client = find(exchange);
+        if (client != null) client.arrivals.stop();
     }
 
     private void set(HttpServerExchange exchange, State state) {
--- a/src/test/java/maplerail/front/ArrivalLogTest.java
+++ b/src/test/java/maplerail/front/ArrivalLogTest.java
@@ -39,4 +39,22 @@
         log.requestEnded(0);
         assertThat(log.notBeforeMs()).isInfinite();
     }
+
+    /** Guards against memory that grows with each message of a session that lasts. */
+    @Test
+    void aConnectionThatIsNoLongerOneOfRequestsIsNotNoted() {
+        log.read(10, 1);
+        log.stop();
+        for (int i = 0; i < 100; i++) log.read(10, 20 * i);
+        assertThat(log.size()).isZero();
+    }
+
+    @Test
+    void piecesOfRequestsThatEndedAreForgotten() {
+        for (int i = 0; i < 100; i++) {
+            log.read(10, 20 * i);
+            log.requestEnded(5);
+            assertThat(log.size()).isLessThanOrEqualTo(2);
+        }
+    }
 }
