Log requests whose client left, and count by what it was held to have left

Only requests whose client left ended without one, so the gateway may have taken it for such. They have a line now, and counters tell whether the end of its input, a failed read or a failed write said so.

--- a/src/main/java/maplerail/core/Broker.java
+++ b/src/main/java/maplerail/core/Broker.java
@@ -167,6 +167,7 @@
     private void gone(ActiveRequest active) {
         if (!registry.answer(active)) return;
         counters.count(FinalAnswer.CLIENT_LEFT);
+        failureLog.bad(active, "left by its client");
         leave(active);
     }
 
--- a/src/main/java/maplerail/front/platform/Answer.java
+++ b/src/main/java/maplerail/front/platform/Answer.java
@@ -10,16 +10,23 @@
 import java.util.Locale;
 import maplerail.core.Caller;
 import maplerail.core.RequestHandle;
+import maplerail.core.ServiceCounters;
 import org.xnio.IoUtils;
 import org.xnio.channels.StreamSinkChannel;
 import org.xnio.conduits.StreamSourceConduit;
 
 /** A client's open request: relays a stream to it as it comes, or words the one final answer. */
 final class Answer implements Caller {
+    /** By what a client is held to have left. */
+    private enum Left {
+        END_OF_INPUT, READ_FAILED, WRITE_FAILED
+    }
+
     private static final int MOST_WAITING = 64 * 1024; // bytes that the client has not taken yet
 
     private final HttpServerExchange exchange;
     private final EarlyBytes early;
+    private final ServiceCounters counters;
     private final ArrayDeque<ByteBuffer> waiting = new ArrayDeque<>();
     private int waitingBytes;
     private RequestHandle handle;
@@ -28,9 +35,10 @@
     private boolean ending;
     private boolean over;
 
-    Answer(HttpServerExchange exchange, EarlyBytes early) {
+    Answer(HttpServerExchange exchange, EarlyBytes early, ServiceCounters counters) {
         this.exchange = exchange;
         this.early = early;
+        this.counters = counters;
     }
 
     /** From now on the client's leaving is told to this handle. */
@@ -73,13 +81,13 @@
         PooledByteBuffer received = connection.getByteBufferPool().allocate();
         try {
             int count = raw.read(received.getBuffer());
-            if (count < 0) left();
+            if (count < 0) left(Left.END_OF_INPUT);
             if (count <= 0) return;
             received.getBuffer().flip();
             // Not gone but early. Reading goes on, as the end of its side would stand behind that.
             if (!early.add(connection, received.getBuffer())) raw.suspendReads();
         } catch (IOException e) {
-            left();
+            left(Left.READ_FAILED);
         } finally {
             received.close();
         }
@@ -91,9 +99,10 @@
         if (exchange.getConnection() instanceof HttpServerConnection connection) early.forget(connection);
     }
 
-    private void left() {
+    private void left(Left how) {
         if (over) return;
         finish();
+        counters.count(how);
         IoUtils.safeClose(exchange.getConnection());
         if (handle != null) handle.gone();
     }
@@ -141,7 +150,7 @@
             }
             sink.suspendWrites();
         } catch (IOException e) {
-            left();
+            left(Left.WRITE_FAILED);
             return;
         }
         if (paused && !over && waitingBytes <= MOST_WAITING / 2) {
--- a/src/main/java/maplerail/front/platform/PlatformFront.java
+++ b/src/main/java/maplerail/front/platform/PlatformFront.java
@@ -58,7 +58,7 @@
     private void handle(HttpServerExchange exchange) {
         ServerConnection connection = exchange.getConnection();
         if (lifecycle.phase().ends()) exchange.getResponseHeaders().put(Headers.CONNECTION, "close");
-        Answer answer = new Answer(exchange, early);
+        Answer answer = new Answer(exchange, early, broker.counters());
         if (exchange.getRequestURI().equals("/-/ready")) {
             answer.say(lifecycle.phase() == Phase.READY ? 200 : 503, "");
         } else if (exchange.getRequestURI().startsWith("/-/")) {
