Run each task behind the input barrier by itself, so that one that fails stops no other

Found while reading the change again: an exception in one task, as of a client's request, would have kept the others of its round from running, among them the loop's own look at its input. From then on every request would have seemed older and older. XnioLoopTest shows it, and what is known after a standstill.

--- a/src/main/java/maplerail/net/InputBarrier.java
+++ b/src/main/java/maplerail/net/InputBarrier.java
@@ -49,18 +49,29 @@
         }
     }
 
+    /** Each task is given to the thread by itself, so that one which fails keeps none of the others from running. */
     private void finishSoon() {
+        execute(this::nextMark);
+        marked.forEach(this::execute);
+    }
+
+    private void nextMark() {
+        marked = new ArrayList<>();
+        if (!waiting.isEmpty()) mark();
+    }
+
+    private void execute(Runnable task) {
         try {
-            thread.execute(this::finishRound);
+            thread.execute(task);
         } catch (RejectedExecutionException e) {
-            marked.clear(); // the thread is stopping: nothing is to happen any more
+            return; // the thread is stopping: nothing is to happen any more
         }
     }
 
     private void seen() {
         mark.clear();
         try {
-            if (pipe.getLeftSide().read(mark) == 0) return;
+            if (pipe.getLeftSide().read(mark) <= 0) return;
         } catch (IOException e) {
             return; // seen again in the next round
         }
@@ -68,13 +79,6 @@
         finishSoon();
     }
 
-    private void finishRound() {
-        List<Runnable> due = marked;
-        marked = new ArrayList<>();
-        if (!waiting.isEmpty()) mark();
-        due.forEach(Runnable::run);
-    }
-
     @Override
     public void close() {
         IoUtils.safeClose(pipe.getLeftSide(), pipe.getRightSide());
--- /dev/null
+++ b/src/test/java/maplerail/net/XnioLoopTest.java
@@ -0,0 +1,69 @@
+package maplerail.net;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.concurrent.BlockingQueue;
+import maplerail.support.World;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+/** Guards against a loop that no longer knows what it has read, which would take every request for an old one. */
+class XnioLoopTest {
+    private static final double STOOD_STILL_MS = 200;
+
+    private final XnioWorker worker;
+    private final XnioLoop loop;
+    private final BlockingQueue<String> heard = World.queue();
+
+    XnioLoopTest() throws Exception {
+        worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
+        loop = new XnioLoop(worker.getIoThread());
+    }
+
+    @AfterEach
+    void stop() {
+        worker.shutdownNow();
+    }
+
+    @Test
+    void aTaskThatFailsKeepsNoOtherFromRunning() throws Exception {
+        loop.execute(() -> {
+            loop.afterInput(() -> {
+                throw new IllegalStateException("a task of a test that fails on purpose");
+            });
+            loop.afterInput(() -> heard.add("ran"));
+        });
+        assertThat(World.take(heard)).isEqualTo("ran");
+        double beforeMs = loop.nowMs();
+        World.await("it still looks", () -> loop.inputSinceMs() > beforeMs);
+    }
+
+    @Test
+    void aTaskThatWasCalledOffDoesNotRun() throws Exception {
+        loop.execute(() -> {
+            loop.afterInput(() -> heard.add("called off")).cancel();
+            loop.afterInput(() -> heard.add("ran"));
+        });
+        assertThat(World.take(heard)).isEqualTo("ran");
+    }
+
+    @Test
+    void whatIsReadAfterAStandstillMayHaveComeAtItsStart() throws Exception {
+        double startMs = loop.nowMs();
+        World.await("it looks", () -> loop.inputSinceMs() > startMs);
+        loop.execute(() -> {
+            double stoppedMs = loop.nowMs();
+            while (loop.nowMs() < stoppedMs + STOOD_STILL_MS) Thread.onSpinWait();
+            heard.add(loop.inputSinceMs() <= stoppedMs ? "unread since" : "known");
+            loop.afterInput(() -> heard.add(loop.connectionsSinceMs() <= stoppedMs ? "unread since" : "known"));
+        });
+        assertThat(World.take(heard)).isEqualTo("unread since");
+        assertThat(World.take(heard)).as("of connections, of which some may still wait").isEqualTo("unread since");
+        double afterMs = loop.nowMs();
+        World.await("it has caught up", () -> loop.connectionsSinceMs() > afterMs);
+    }
+}
