Count a soak request as taken from its last byte on the connection that it came on

Its time line: sent once more on a new connection 225 ms after its first byte, in pieces with two pauses of 225 ms, so whole after 675 ms, with the kill at 590 ms.

--- a/src/test/java/maplerail/soak/Ledger.java
+++ b/src/test/java/maplerail/soak/Ledger.java
@@ -88,6 +88,8 @@
         final List<String> timeline = new ArrayList<>();
         /** Engines that hold a state for it, and since when. */
         final Map<String, Double> held = new HashMap<>();
+        /** When its last byte was written, on the connection that it is sent on now. */
+        double wholeMs = Double.NaN;
         double leftMs = Double.NaN;
         boolean ownerKilled;
         /** It came when its gateway had long been told to end, was not answered, and the gateway was killed. */
@@ -154,6 +156,11 @@
         return request;
     }
 
+    /** A request is being sent on a connection, or has been to its last byte. */
+    synchronized void sending(Request request, boolean whole) {
+        request.wholeMs = whole ? nowMs() : Double.NaN;
+    }
+
     synchronized void note(Request request, String what) {
         request.note(what);
     }
@@ -183,7 +190,7 @@
         double now = nowMs();
         for (Request request : requests.values()) {
             if (!request.gateway.equals(gateway)) continue;
-            boolean owed = request.sentMs > oweFromMs && request.sentMs < now - ANSWER_AT_ONCE_MS;
+            boolean owed = request.wholeMs > oweFromMs && request.wholeMs < now - ANSWER_AT_ONCE_MS;
             request.answerOwed |= owed && !request.ownerKilled;
             request.ownerKilled = true;
             request.note("gateway killed");
--- a/src/test/java/maplerail/soak/LoadClients.java
+++ b/src/test/java/maplerail/soak/LoadClients.java
@@ -124,7 +124,9 @@
         Answer answer = new Answer();
         if (leaveAfterMs > 0) leaveLater(socket, request, leaveAfterMs, answer);
         try {
+            ledger.sending(request, false);
             send(socket, request, text);
+            ledger.sending(request, true);
             answer.sent = true;
             answer.read(socket, request);
         } catch (SocketTimeoutException e) {
