Keep one absolute deadline from the arrival bound, and look at the input each 50 ms

A request carries the time before which it was not sent, and its deadline follows. - After a standstill the bound for new connections stays until two looks in a row were in time, in place of 100 ms of the clock, which may be another standstill. Connections that come close on each other count as waiting since the first. A look each 50 ms is still well inside the slack of 150 ms.

--- a/src/main/java/maplerail/core/Admission.java
+++ b/src/main/java/maplerail/core/Admission.java
@@ -18,7 +18,7 @@
     /** The open request, or null for an id that is open already: two of one id could not be told apart by engines. */
     ActiveRequest take(ServiceRequest request, Caller caller) {
         if (open.containsKey(request.id())) return null;
-        ActiveRequest active = new ActiveRequest(++last, request, caller, loop.nowMs() + request.budgetMs());
+        ActiveRequest active = new ActiveRequest(++last, request, caller, request.deadlineMs(loop.nowMs()));
         open.put(request.id(), active);
         registry.open(active, () -> open.remove(request.id()));
         return active;
--- a/src/main/java/maplerail/core/Broker.java
+++ b/src/main/java/maplerail/core/Broker.java
@@ -70,7 +70,8 @@
         active.guard = loop.at(active.deadlineMs + GUARD_MS, () -> overdue(active));
         decisions.tell(new Router.Arrival(active.number, request.kind(), request.tenant(), request.session(),
                 request.promptTokens(),
-                request.prefix(), request.prefixTokens(), request.budgetMs(), request.maxOutput(), request.hintMs(),
+                request.prefix(), request.prefixTokens(), Math.max(0, active.deadlineMs - loop.nowMs()),
+                request.maxOutput(), request.hintMs(),
                 request.resumed()));
         return new Open(active);
     }
--- a/src/main/java/maplerail/front/ClientListener.java
+++ b/src/main/java/maplerail/front/ClientListener.java
@@ -38,6 +38,8 @@
     private static final double LONG_IDLE_MS = 30_000;
     private static final double LOOK_MS = 50;
     private static final double BACKLOG_MS = 100; // in which the backlog has emptied once accept works again
+    /** Between two connections, from which the queue of those that wait was empty meanwhile. */
+    private static final double BURST_GAP_MS = 50;
     private static final byte[] TOO_LATE = ("HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\n"
             + "Connection: close\r\n\r\n").getBytes(StandardCharsets.US_ASCII);
     private static final int ROOM_PART = 8; // of the places: kept free by ending what is idle
@@ -59,6 +61,9 @@
     /** When accept last failed, and since when it had. */
     private double acceptFailedMs = Double.NEGATIVE_INFINITY;
     private double acceptFailingSinceMs;
+    /** When the last connection came in, and since when those that came close before it may have waited. */
+    private double lastConnectionMs = Double.NEGATIVE_INFINITY;
+    private double burstSinceMs;
 
     private static final class Tracked {
         State state = State.SILENT;
@@ -78,17 +83,23 @@
         acceptFailedMs = loop.nowMs();
     }
 
-    /** A connection that comes in now had not been made by this time. */
+    /**
+     * A connection that comes in now had not been made by this time. Of connections that come close on each other each
+     * may have waited in the system since the first: nothing tells that its queue was empty in between.
+     */
     private double connectedSinceMs() {
+        double now = loop.nowMs();
         double sinceMs = loop.connectionsSinceMs();
-        boolean failed = loop.nowMs() - acceptFailedMs < BACKLOG_MS;
-        return failed ? Math.min(sinceMs, acceptFailingSinceMs) : sinceMs;
+        if (lastConnectionMs < sinceMs - BURST_GAP_MS) burstSinceMs = sinceMs;
+        lastConnectionMs = now;
+        boolean failed = now - acceptFailedMs < BACKLOG_MS;
+        return Math.min(Math.min(sinceMs, burstSinceMs), failed ? acceptFailingSinceMs : sinceMs);
     }
 
-    /** For how long the client of a request may have waited by now, from the request's first byte. */
-    public double waitedMs(HttpServerExchange exchange) {
+    /** Before this time not a byte of a request had been sent. */
+    public double sentMs(HttpServerExchange exchange) {
         Tracked client = find(exchange);
-        return client == null ? 0 : Math.max(0, loop.nowMs() - client.arrivals.notBeforeMs());
+        return client == null ? loop.nowMs() : Math.min(loop.nowMs(), client.arrivals.notBeforeMs());
     }
 
     /** A listener before the HTTP server's own, through which at most so many connections should be at once. */
--- a/src/main/java/maplerail/front/platform/PlatformFront.java
+++ b/src/main/java/maplerail/front/platform/PlatformFront.java
@@ -97,7 +97,7 @@
         }
         ServiceRequest request;
         try {
-            request = reader.read(exchange, body, listener.waitedMs(exchange));
+            request = reader.read(exchange, body, listener.sentMs(exchange));
         } catch (RequestReader.BadRequest e) {
             answer.say(400, e.getMessage());
             return;
--- a/src/main/java/maplerail/front/platform/RequestReader.java
+++ b/src/main/java/maplerail/front/platform/RequestReader.java
@@ -17,7 +17,6 @@
 
 /** Turns headers and body into a {@link ServiceRequest}; says what is wrong where that cannot be done. */
 final class RequestReader {
-    private static final double LEAST_BUDGET_MS = 1; // of a request whose time is over: it is answered at once
     private static final double TOKEN_BYTES = 4;
     private static final double MOST_S = 3_600; // that a client may say it waits
     private static final double MOST_TOKENS = 1e7;
@@ -40,14 +39,14 @@
         }
     }
 
-    /** Reads a request whose client has waited for some of its time already. */
-    ServiceRequest read(HttpServerExchange exchange, byte[] body, double waitedMs) throws BadRequest {
+    /** Reads a request that was not sent before some time. */
+    ServiceRequest read(HttpServerExchange exchange, byte[] body, double sentMs) throws BadRequest {
         String id = need(exchange, "Req-Id");
         if (!id.matches("[0-9A-Za-z._~-]{1,128}")) throw new BadRequest("Req-Id: not an id");
         int kind = place(names.classes(), need(exchange, "Req-Kind"), "Req-Kind");
         int tenant = names.tenants().isEmpty() ? 0
                 : place(names.tenants(), need(exchange, "Req-Owner"), "Req-Owner");
-        double budgetMs = Math.max(LEAST_BUDGET_MS, budgetMs(exchange) - waitedMs);
+        double budgetMs = budgetMs(exchange);
         Map<String, String> extra = extra(exchange.getRequestHeaders().getFirst("Req-Extra"));
         double prompt = tokens(extra, "prompt_len", body.length / TOKEN_BYTES);
         long prefix = EngineIds.key(extra.get("prefix"));
@@ -58,7 +57,7 @@
                 prompt,
                 prefix, prefix == 0 ? 0 : tokens(extra, "prefix_len", 0), budgetMs, most,
                 hint == null ? 0 : number(hint, "Req-Cost", MOST_S * 1_000), again, body.length,
-                new HttpPayload(exchange.getRequestMethod(), target(exchange), headers(exchange), body));
+                new HttpPayload(exchange.getRequestMethod(), target(exchange), headers(exchange), body), sentMs);
     }
 
     /** How long the client waits. */
--- a/src/main/java/maplerail/net/Pool.java
+++ b/src/main/java/maplerail/net/Pool.java
@@ -33,7 +33,7 @@
     private static final double FAULT_PAUSE_MS = 20; // between two tries while this machine cannot connect
     private static final double FAULT_LOG_MS = 1_000;
     /** For which what has come may lie unread when an attempt is begun; with the grace of a drain it has to be short. */
-    private static final double UNREAD_MS = 50;
+    private static final double UNREAD_MS = 75;
     private static final OptionMap OPTIONS = OptionMap.builder().set(Options.TCP_NODELAY, true).getMap();
 
     private final XnioLoop loop;
--- a/src/main/java/maplerail/net/XnioLoop.java
+++ b/src/main/java/maplerail/net/XnioLoop.java
@@ -11,19 +11,19 @@
 /** The broker's loop on an XNIO thread: everything that it owns runs there and needs no locks. */
 public final class XnioLoop implements Loop, AutoCloseable {
     /** Between two looks at what has arrived: what a request or an answer may seem to be older than it is. */
-    private static final double LOOK_MS = 20;
+    private static final double LOOK_MS = 50;
     /** Between two looks, from which this process may have stood still. */
-    private static final double STANDSTILL_MS = 60;
-    /** After a standstill, in which the thread that accepts connections has come to all that waited. */
-    private static final double CATCH_UP_MS = 100;
+    private static final double STANDSTILL_MS = 100;
+    /** Looks in time after a standstill, until the thread that accepts connections has come to all that waited. */
+    private static final int CATCH_UP_LOOKS = 2;
 
     private final XnioIoThread thread;
     private final long startNanos = System.nanoTime();
     private final double startMs = System.currentTimeMillis();
     private final InputBarrier barrier;
     private double inputSinceMs = startMs;
-    private double stoodStillSinceMs;
-    private double catchUpUntilMs = Double.NEGATIVE_INFINITY;
+    private double connectionsSinceMs = startMs;
+    private int looksInTime;
 
     /** Makes the loop of a thread. */
     public XnioLoop(XnioIoThread thread) {
@@ -48,10 +48,10 @@
 
     private void look() {
         double lookMs = nowMs();
-        if (lookMs - inputSinceMs > STANDSTILL_MS && lookMs > catchUpUntilMs) stoodStillSinceMs = inputSinceMs;
-        if (lookMs - inputSinceMs > STANDSTILL_MS) catchUpUntilMs = lookMs + CATCH_UP_MS;
+        looksInTime = lookMs - inputSinceMs > STANDSTILL_MS ? 0 : looksInTime + 1;
         barrier.pass(() -> {
             inputSinceMs = lookMs;
+            if (looksInTime >= CATCH_UP_LOOKS) connectionsSinceMs = lookMs;
             at(nowMs() + LOOK_MS, this::look);
         });
     }
@@ -63,7 +63,7 @@
 
     @Override
     public double connectionsSinceMs() {
-        return nowMs() < catchUpUntilMs ? stoodStillSinceMs : inputSinceMs;
+        return connectionsSinceMs;
     }
 
     @Override
