Take only a crowd of connections as waiting since its first

The rule that connections which come close on each other may have waited since the first had no bound: at a gateway that new clients reach steadily, ten a second or more, it would have charged each for all before it. Sixteen within the time that the loop may not have looked make a crowd now; fewer are accepted as they come. ConnectionBurstTest holds both.

--- a/src/main/java/maplerail/front/ClientListener.java
+++ b/src/main/java/maplerail/front/ClientListener.java
@@ -38,8 +38,6 @@
     private static final double LONG_IDLE_MS = 30_000;
     private static final double LOOK_MS = 50;
     private static final double BACKLOG_MS = 100; // in which the backlog has emptied once accept works again
-    /** Between two connections, from which the queue of those that wait was empty meanwhile. */
-    private static final double BURST_GAP_MS = 50;
     private static final byte[] TOO_LATE = ("HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\n"
             + "Connection: close\r\n\r\n").getBytes(StandardCharsets.US_ASCII);
     private static final int ROOM_PART = 8; // of the places: kept free by ending what is idle
@@ -61,9 +59,7 @@
     /** When accept last failed, and since when it had. */
     private double acceptFailedMs = Double.NEGATIVE_INFINITY;
     private double acceptFailingSinceMs;
-    /** When the last connection came in, and since when those that came close before it may have waited. */
-    private double lastConnectionMs = Double.NEGATIVE_INFINITY;
-    private double burstSinceMs;
+    private final ConnectionBurst burst = new ConnectionBurst();
 
     private static final class Tracked {
         State state = State.SILENT;
@@ -83,17 +79,11 @@
         acceptFailedMs = loop.nowMs();
     }
 
-    /**
-     * A connection that comes in now had not been made by this time. Of connections that come close on each other each
-     * may have waited in the system since the first: nothing tells that its queue was empty in between.
-     */
+    /** A connection that comes in now had not been made by this time. */
     private double connectedSinceMs() {
         double now = loop.nowMs();
-        double sinceMs = loop.connectionsSinceMs();
-        if (lastConnectionMs < sinceMs - BURST_GAP_MS) burstSinceMs = sinceMs;
-        lastConnectionMs = now;
-        boolean failed = now - acceptFailedMs < BACKLOG_MS;
-        return Math.min(Math.min(sinceMs, burstSinceMs), failed ? acceptFailingSinceMs : sinceMs);
+        double sinceMs = burst.notBeforeMs(now, loop.connectionsSinceMs());
+        return now - acceptFailedMs < BACKLOG_MS ? Math.min(sinceMs, acceptFailingSinceMs) : sinceMs;
     }
 
     /** Before this time not a byte of a request had been sent. */
