Show by failing tests that sound answers are cut which come slowly

What callers saw: on the hasty site a stream whose engine wrote it in pieces ended with no last chunk, and requests whose reader wrote its head in pieces were refused with their attempts spent. The line said "broken (RESET)" some milliseconds after the last byte.

Cause, not mended here: Call.within gives an answer 0.5 pin limits (125 ms where a state may be held for 250 ms) from the first byte of a head or chunk to its end, whether its bytes go on coming or not, and in the middle of a stream. An interim answer (1xx) counts as the beginning of a head that lasts until the real one, so an engine that says it is at work and then takes longer than that is cut, too.

--- /dev/null
+++ b/src/test/java/maplerail/cli/SlowEngineIT.java
@@ -0,0 +1,139 @@
+package maplerail.cli;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.Socket;
+import java.nio.file.Path;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import maplerail.support.GatewayProgram;
+import maplerail.support.StandIn;
+import maplerail.support.World;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** A real gateway beside engines that write slowly or stop, where a state may be held for 250 ms as on the hasty site. */
+class SlowEngineIT {
+    private static final double BROKEN_OFF_MS = 5_000; // after the last event of a stream that stopped, by TERMS
+    private static final String HEAD = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+            + "Transfer-Encoding: chunked\r\n\r\n";
+    private static final String READ = "HTTP/1.1 202 Accepted\r\nContent-Length: 19\r\n\r\n{\"cached_tokens\":0}";
+    private static final String EVENT = "data: {\"choices\":[{\"delta\":{\"content\":\"slowly\"}}]}\n\n";
+    private static final String CHUNK = Integer.toHexString(EVENT.length()) + "\r\n" + EVENT + "\r\n";
+
+    @TempDir
+    Path folder;
+
+    private static double nowMs() {
+        return System.nanoTime() / 1e6;
+    }
+
+    /** An engine that answers calls which let something go as it should, and all others as told. */
+    private static StandIn engine(StandIn.Handler answer) throws Exception {
+        return new StandIn(x -> {
+            if (x.method.equals("DELETE")) x.reply(204, "");
+            else answer.handle(x);
+        });
+    }
+
+    private static String config(World world) {
+        String config = world.config("127.0.0.1:0");
+        assertThat(config).contains("\"pinLimitMs\":500.0");
+        return config.replace("\"pinLimitMs\":500.0", "\"pinLimitMs\":250.0");
+    }
+
+    private GatewayProgram gateway(World world) throws Exception {
+        GatewayProgram gateway = GatewayProgram.serve(folder, config(world));
+        gateway.readyPort();
+        return gateway;
+    }
+
+    /** Asks once, and expects the whole answer: both events, the last chunk, and no further attempt at the writer. */
+    private void assertServed(StandIn.Handler reader, StandIn.Handler writer) throws Exception {
+        try (StandIn reads = engine(reader);
+                StandIn writes = engine(writer);
+                World world = new World().engine("r", "prefill", reads).engine("w", "decode", writes);
+                GatewayProgram gateway = gateway(world)) {
+            String answer = gateway.say(World.request("a1", "repair-order", "6.0"));
+            assertThat(answer).as(gateway.log()).startsWith("HTTP/1.1 200").contains("slowly").contains("[DONE]")
+                    .endsWith("\r\n0\r\n\r\n");
+            assertThat(writes.count("POST")).isEqualTo(1);
+        }
+    }
+
+    private static void read(StandIn.Exchange x) throws Exception {
+        x.write(READ);
+    }
+
+    private static void finish(StandIn.Exchange x) throws Exception {
+        x.chunk("data: [DONE]\n\n");
+        x.last();
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {300, 1_200})
+    void aStreamOfAWriterThatWritesAByteAtATimeIsPassedOnToItsEnd(int spanMs) throws Exception {
+        assertServed(SlowEngineIT::read, x -> {
+            x.write(HEAD);
+            x.drip(CHUNK, spanMs);
+            finish(x);
+        });
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {400, 2_000})
+    void aStreamThatPausesInTheMiddleOfAChunkIsPassedOnToItsEnd(int pauseMs) throws Exception {
+        assertServed(SlowEngineIT::read, x -> {
+            x.stream();
+            x.chunk(EVENT);
+            x.write(CHUNK.substring(0, 20));
+            TimeUnit.MILLISECONDS.sleep(pauseMs);
+            x.write(CHUNK.substring(20));
+            finish(x);
+        });
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {300, 1_200})
+    void aWriterWhoseHeadComesAByteAtATimeServes(int spanMs) throws Exception {
+        assertServed(SlowEngineIT::read, x -> {
+            x.drip(HEAD, spanMs);
+            x.chunk(EVENT);
+            finish(x);
+        });
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {300, 1_200})
+    void aReaderWhoseAnswerComesAByteAtATimeReads(int spanMs) throws Exception {
+        assertServed(x -> x.drip(READ, spanMs), x -> {
+            x.stream();
+            x.chunk(EVENT);
+            finish(x);
+        });
+    }
+
+    /** A client waits for the end within 5 s of the last event, so that it can ask for the rest elsewhere. */
+    @Test
+    void aStreamThatStopsInTheMiddleOfAChunkEndsItsClientsConnectionInTime() throws Exception {
+        AtomicReference<Double> stoppedMs = new AtomicReference<>();
+        try (StandIn reads = engine(SlowEngineIT::read);
+                StandIn writes = engine(x -> {
+                    x.stream();
+                    x.chunk(EVENT);
+                    x.write(CHUNK.substring(0, 20));
+                    stoppedMs.set(nowMs());
+                    x.awaitEnd();
+                });
+                World world = new World().engine("r", "prefill", reads).engine("w", "decode", writes);
+                GatewayProgram gateway = gateway(world);
+                Socket client = new Socket("127.0.0.1", gateway.port())) {
+            client.getOutputStream().write(World.request("a1", "repair-order", "6.0").getBytes());
+            String answer = World.readAll(client.getInputStream());
+            assertThat(nowMs() - stoppedMs.get()).isLessThan(BROKEN_OFF_MS);
+            assertThat(answer).startsWith("HTTP/1.1 200").contains("slowly").doesNotContain("\r\n0\r\n\r\n");
+        }
+    }
+}
--- a/src/test/java/maplerail/support/StandIn.java
+++ b/src/test/java/maplerail/support/StandIn.java
@@ -15,6 +15,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** A server for tests on an ephemeral loopback port, which can also misbehave: reset, fall silent, break off. */
@@ -161,6 +162,17 @@
             out.flush();
         }
 
+        /** Writes a text a byte at a time, evenly spread over a span: slow, and never silent for long. */
+        public void drip(String text, int spanMs) throws IOException, InterruptedException {
+            double startMs = System.nanoTime() / 1e6;
+            for (int i = 0; i < text.length(); i++) {
+                double dueMs = startMs + (double) spanMs * i / text.length();
+                long waitMs = Math.round(dueMs - System.nanoTime() / 1e6);
+                if (waitMs > 0) TimeUnit.MILLISECONDS.sleep(waitMs);
+                write(text.substring(i, i + 1));
+            }
+        }
+
         public void reply(int status, String text, String... headerLines) throws IOException {
             String more = headerLines.length == 0 ? "" : String.join("\r\n", headerLines) + "\r\n";
             write("HTTP/1.1 " + status + " X\r\nContent-Length: " + text.length() + "\r\n" + more + "\r\n" + text);
