Count a head's silence from its last byte, and leave what follows to who waits for it

A limit that follows from a rule on held states bounded how slowly a sound engine may write, and counted whole units where it meant silence. An interim answer (1xx) counted as a head that had begun until the real one came.

Change: a head that is not whole ends as broken 400 ms after its last byte, twice the least time after which a system sends a lost packet again. Behind the head there is no such limit: a stream that has begun has the stall guard of AttemptRunner, everything else its deadline, and what a reader holds meanwhile has its own clocks.

--- a/src/main/java/maplerail/cli/Gateway.java
+++ b/src/main/java/maplerail/cli/Gateway.java
@@ -47,11 +47,6 @@
     /** For which the exit waits for releases: as long as a state may be held, with the slack of the rules on sockets. */
     private static final double LAST_RELEASES_MS = 800;
     private static final double CONFIRM_MS = 500; // for the agent on this machine to say what has changed
-    /**
-     * In pin limits, in which a head or a chunk of an answer must end once it has begun. A reader whose answer is
-     * spoilt holds a state from then on, and the rest of the limit is for its release.
-     */
-    private static final double PIECE_LIMITS = 0.5;
     private static final int BUFFER = 8 * 1024;
     private static final int MOST_HEAD = 16 * 1024; // bytes of a request's head
     /** Of the descriptors: connections that clients may hold at either front. The rest is for engines. */
@@ -94,8 +89,7 @@
         int sockets = config.wire().sockets();
         int tooling = on ? sockets * (RPC_PERCENT + TOOLS_PERCENT) / 100 : 0;
         Pool pool = new Pool(loop, buffers, config.wire().connIdleMs(), config.wire().connectTimeoutMs(),
-                sockets - OWN_SOCKETS - sockets * CLIENT_PERCENT / 100 - tooling,
-                PIECE_LIMITS * config.settings().rules().pinLimitMs());
+                sockets - OWN_SOCKETS - sockets * CLIENT_PERCENT / 100 - tooling);
         engines = new EngineClient(pool);
         Router.Settings settings = config.settings();
         Consumer<String> log = line -> LOG.info("{}", line);
--- a/src/main/java/maplerail/cli/ToolServices.java
+++ b/src/main/java/maplerail/cli/ToolServices.java
@@ -24,7 +24,6 @@
     private static final Logger LOG = LoggerFactory.getLogger(ToolServices.class);
     private static final double IDLE_MS = 10_000; // tool servers name no time after which they close
     private static final double CONNECT_MS = 500;
-    private static final double PIECE_MS = 2_000; // in which a head or a chunk of a reply must end
     private static final int MOST_OPEN = 1_000;
 
     private final ToolsConfig config;
@@ -38,7 +37,7 @@
             int mostConnections) {
         this.config = config;
         this.loop = loop;
-        this.pool = new Pool(loop, buffers, IDLE_MS, CONNECT_MS, mostConnections, PIECE_MS);
+        this.pool = new Pool(loop, buffers, IDLE_MS, CONNECT_MS, mostConnections);
         Router.Settings settings = config.settings(seed);
         Quotas quotas = new Quotas(config.budgets(MOST_OPEN), loop, line -> LOG.info("{}", line));
         for (String name : config.services().keySet()) {
--- a/src/main/java/maplerail/net/AnswerReader.java
+++ b/src/main/java/maplerail/net/AnswerReader.java
@@ -34,7 +34,7 @@
     private long left;
     private boolean keepAlive;
     private boolean begun;
-    private int units;
+    private boolean headWhole;
 
     AnswerReader(Reply reply) {
         this.reply = reply;
@@ -72,9 +72,14 @@
         return begun && at != At.DONE;
     }
 
-    /** How many heads and chunks have ended. */
-    int units() {
-        return units;
+    /** True once the head of the real answer has come, with all that stands in front of it. */
+    boolean headWhole() {
+        return headWhole;
+    }
+
+    /** True while a head has begun and the head of the real answer is not whole. */
+    boolean inHead() {
+        return within() && !headWhole;
     }
 
     /** Nobody wants the rest. */
@@ -135,7 +140,6 @@
     }
 
     private void between() {
-        units++;
         begun = false;
         headBytes = 0;
     }
@@ -174,6 +178,7 @@
             if (status == 101 || ++interim > MOST_INTERIM) throw new IOException("not an answer: " + status);
             status = 0;
             headers = new HeaderMap();
+            begun = false;
             return;
         }
         String connection = headers.getFirst(Headers.CONNECTION);
@@ -200,6 +205,7 @@
             keepAlive = false;
         }
         between();
+        headWhole = true;
         reply.head(status, headers);
     }
 }
--- a/src/main/java/maplerail/net/Call.java
+++ b/src/main/java/maplerail/net/Call.java
@@ -15,6 +15,8 @@
 /** One request on one connection. It is written once and never again, whatever happens to the connection. */
 public final class Call {
     private static final Logger LOG = LoggerFactory.getLogger(Call.class);
+    /** After the last byte of a head that is not whole: a system sends a lost packet again after 200 ms or more. */
+    private static final double HEAD_SILENCE_MS = 400;
 
     private final Pool pool;
     private final Supplier<ClientRequest> request;
@@ -42,7 +44,6 @@
     private boolean reading;
     private boolean failing;
     private boolean done;
-    private int unitsSeen;
 
     /** Makes a call whose head is asked for when it is about to be written: what it tells of time must hold then. */
     Call(Pool pool, Supplier<ClientRequest> request, byte[] body, BooleanSupplier mayBegin, Reply reply,
@@ -199,7 +200,7 @@
                 int count = link.connection.getSourceChannel().read(buffer);
                 if (count == 0) {
                     link.connection.getSourceChannel().resumeReads();
-                    within();
+                    watchHead();
                     return;
                 }
                 if (count > 0) {
@@ -222,14 +223,16 @@
         }
     }
 
-    /** Guards against an answer that stops in the middle of a head or chunk: neither its sender nor it says so. */
-    private void within() {
-        if (!reader.within() || reader.units() != unitsSeen) calm();
-        unitsSeen = reader.units();
-        if (!reader.within() || limit != null) return;
+    /**
+     * Guards against a head that stops in its middle: neither its sender nor it says so. However slowly its bytes come, it
+     * has not stopped; and what follows the head is watched by who waits for it.
+     */
+    private void watchHead() {
+        calm();
+        if (!reader.inHead()) return;
         // What has come by then is read first.
         XnioLoop loop = pool.loop();
-        limit = loop.at(loop.nowMs() + pool.pieceMs(), () -> limit = loop.afterInput(this::fail));
+        limit = loop.at(receivedMs + HEAD_SILENCE_MS, () -> limit = loop.afterInput(this::fail));
     }
 
     private void calm() {
--- a/src/main/java/maplerail/net/Pool.java
+++ b/src/main/java/maplerail/net/Pool.java
@@ -41,7 +41,6 @@
     private final double retireMs;
     private final double connectMs;
     private final int most;
-    private final double pieceMs;
     private final Map<InetSocketAddress, ArrayDeque<Link>> idle = new HashMap<>();
     private final Map<InetSocketAddress, Integer> connecting = new HashMap<>();
     private final Map<InetSocketAddress, ArrayDeque<Call>> queued = new HashMap<>();
@@ -59,16 +58,14 @@
 
     /**
      * Makes a pool of at most so many connections, and some reserved ones, which the far side closes after being idle
-     * for some time; a head or a chunk of an answer that has begun must end within {@code pieceMs}.
+     * for some time.
      */
-    public Pool(XnioLoop loop, ByteBufferPool buffers, double connIdleMs, double connectTimeoutMs, int most,
-            double pieceMs) {
+    public Pool(XnioLoop loop, ByteBufferPool buffers, double connIdleMs, double connectTimeoutMs, int most) {
         this.loop = loop;
         this.buffers = buffers;
         this.retireMs = connIdleMs * RETIRE_SHARE;
         this.connectMs = connectTimeoutMs;
         this.most = most;
-        this.pieceMs = pieceMs;
         this.connector = to -> loop.thread().openStreamConnection(to, null, OPTIONS);
     }
 
@@ -280,11 +277,6 @@
         return links.size() + connectingInAll;
     }
 
-    /** In which a head or a chunk of an answer must end once it has begun. */
-    double pieceMs() {
-        return pieceMs;
-    }
-
     XnioLoop loop() {
         return loop;
     }
