--- a/src/test/java/maplerail/net/AnswerReaderTest.java
+++ b/src/test/java/maplerail/net/AnswerReaderTest.java
@@ -62,6 +62,8 @@
             HTTP/1.1 204 No~^~^                                                ! 204: done
             HTTP/1.1 200 OK~^~^abc                                             ! 200:abc open last
             HTTP/1.1 100 Go~^~^HTTP/1.1 103 Hint~^X: y~^~^HTTP/1.1 204 No~^~^  ! 204: done
+            HTTP/1.1 100 Go~^~^                                                ! ' open'
+            HTTP/1.1 100 Go~^~^H                                               ! ' within'
             HTTP/1.1 101 Switch~^~^                                            ! ' spoilt'
             HTTP/1.1 200 OK~^Transfer-Encoding: chunked~^~^3~^abc~^0~^~^       ! 200:abc done
             HTTP/1.1 200 OK~^Transfer-Encoding: chunked~^~^3;x=y~^abc~^0~^A: b~^~^ ! 200:abc done
