--- a/src/test/java/maplerail/cli/HeldStateIT.java
+++ b/src/test/java/maplerail/cli/HeldStateIT.java
@@ -3,11 +3,10 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.nio.file.Path;
-import java.util.Map;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import maplerail.support.FullBacklog;
 import maplerail.support.GatewayProgram;
+import maplerail.support.HeldTimes;
 import maplerail.support.StandIn;
 import maplerail.support.StoppableEngine;
 import maplerail.support.World;
@@ -19,28 +18,22 @@
  * connections and bytes: a write that it has is not out, and the state that it was to fetch must be let go in time.
  */
 class HeldStateIT {
-    private static final double LIMIT_MS = 500 + 300; // of the settings, and what the rules on sockets add
     private static final int WARM_REQUESTS = 6;
 
     @TempDir
     Path folder;
 
-    private final Map<String, Double> heldMs = new ConcurrentHashMap<>();
-    private final Map<String, Double> releasedMs = new ConcurrentHashMap<>();
+    private final HeldTimes times = new HeldTimes();
 
-    private static double nowMs() {
-        return System.nanoTime() / 1e6;
-    }
-
-    /** A reader that notes since when it holds a state, and when it is first told to let go. */
+    /** A reader that notes since when it holds a state, and when it is told to let go. */
     private StandIn reader() throws Exception {
         return new StandIn(exchange -> {
             if (exchange.method.equals("DELETE")) {
-                releasedMs.putIfAbsent(exchange.target.replaceFirst(".*/", ""), nowMs());
+                times.released(exchange.target.replaceFirst(".*/", ""));
                 exchange.reply(204, "");
                 return;
             }
-            heldMs.put(exchange.headers.get("req-id"), nowMs());
+            times.held(exchange.headers.get("req-id"));
             exchange.reply(202, "{\"cached_tokens\":0}");
         });
     }
@@ -64,12 +57,6 @@
         return world;
     }
 
-    private void assertLetGoInTime(String id) {
-        assertThat(heldMs).as("states held").containsKey(id);
-        assertThat(releasedMs).as("states let go").containsKey(id);
-        assertThat(releasedMs.get(id) - heldMs.get(id)).as("time for which a state was held").isLessThan(LIMIT_MS);
-    }
-
     /** Its connection comes up in the system's queue, and proves nothing. */
     @Test
     void aStateIsLetGoInTimeThoughANewConnectionToItsStoppedWriterCameUp() throws Exception {
@@ -80,7 +67,7 @@
             gateway.readyPort();
             writer.stop();
             gateway.say(World.request("a1", "repair-order", "1.5"));
-            assertLetGoInTime("a1");
+            times.assertLetGoInTime("a1");
         }
     }
 
@@ -97,7 +84,7 @@
             }
             writer.stop();
             gateway.say(World.request("a1", "repair-order", "1.5"));
-            assertLetGoInTime("a1");
+            times.assertLetGoInTime("a1");
         }
     }
 
@@ -114,7 +101,7 @@
             one.stop();
             other.stop();
             for (int i = 0; i < WARM_REQUESTS; i++) gateway.say(World.request("a" + i, "lookup", "2.0"));
-            for (int i = 0; i < WARM_REQUESTS; i++) assertLetGoInTime("a" + i);
+            for (int i = 0; i < WARM_REQUESTS; i++) times.assertLetGoInTime("a" + i);
         }
     }
 }
