Take a reader's 202 for the end of its read though the body does not come

Cause: the lease began only at the end of the answer, and nothing bounded a body with a Content-Length. The state is held from the head on; the body only tells how much of the prompt was kept.

Change: 100 ms after the head of a 202 the read counts as ended, with nothing kept as far as is known. Beside it, an answer proves that a writer took the state only once the whole head of a 200 is there: half a head may be that of a writer that turns the request away.

--- a/src/main/java/maplerail/core/Engines.java
+++ b/src/main/java/maplerail/core/Engines.java
@@ -28,7 +28,7 @@
         /** True while not a byte of it has gone out. */
         boolean unsent();
 
-        /** True if something of its answer has come: it has surely arrived. */
+        /** True if the head of a successful answer has come: what the attempt waited for has surely been taken. */
         default boolean answerBegun() {
             return false;
         }
--- a/src/main/java/maplerail/net/Call.java
+++ b/src/main/java/maplerail/net/Call.java
@@ -3,6 +3,7 @@
 import io.undertow.client.ClientRequest;
 import io.undertow.connector.PooledByteBuffer;
 import io.undertow.util.HeaderValues;
+import io.undertow.util.StatusCodes;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
@@ -75,9 +76,9 @@
         return ByteBuffer.allocate(first.length + body.length).put(first).put(body).flip();
     }
 
-    /** True if something has come back. */
+    /** True if the head of a successful answer has come. */
     public boolean answerBegun() {
-        return reader.status() != 0 || reader.within();
+        return reader.headWhole() && reader.status() == StatusCodes.OK;
     }
 
     /** How far it has come, for the log: what was written, on which connection, and what has come back. */
--- a/src/main/java/maplerail/net/EngineClient.java
+++ b/src/main/java/maplerail/net/EngineClient.java
@@ -23,6 +23,7 @@
 public final class EngineClient implements Engines {
     private static final HttpString DEADLINE = new HttpString("Req-Deadline");
     private static final int MOST_READ = 64 * 1024; // of an answer that is no stream
+    private static final double READ_BODY_MS = 100; // after the head of a reader's answer, which comes with its body
 
     private final Pool pool;
     private final XnioLoop loop;
@@ -44,9 +45,9 @@
             Answer answer) {
         HttpPayload payload = (HttpPayload) request.payload();
         InetSocketAddress to = addresses.get(engine);
-        Call call = pool.start(to, () -> request(to, payload, untilMs), payload.body(), mayBegin,
-                new Incoming(answer));
-        return new CallSending(call);
+        Incoming incoming = new Incoming(answer);
+        incoming.call = pool.start(to, () -> request(to, payload, untilMs), payload.body(), mayBegin, incoming);
+        return new CallSending(incoming.call);
     }
 
     /** A client's request as it goes out now: the deadline that it tells is the time that is left. */
@@ -62,8 +63,10 @@
     }
 
     /** An engine's answer, told as an outcome. */
-    private static final class Incoming implements Reply {
+    private final class Incoming implements Reply {
         private final Answer answer;
+        private Call call;
+        private boolean over;
         private final EventSplitter events = new EventSplitter();
         private final ByteArrayOutputStream text = new ByteArrayOutputStream();
         private Outcome meaning;
@@ -80,6 +83,19 @@
             unfit = Outcomes.unfit(status);
             // Without framing the end of the connection is no sign of a whole answer.
             framed = headers.contains(Headers.TRANSFER_ENCODING) || headers.contains(Headers.CONTENT_LENGTH);
+            if (meaning == Outcome.READ) loop.at(loop.nowMs() + READ_BODY_MS, this::endWithoutBody);
+        }
+
+        /** Its head says that a state is held, and the time of that runs; the body only tells what was kept. */
+        private void endWithoutBody() {
+            if (over) return;
+            call.abort();
+            finish(Outcome.READ);
+        }
+
+        private void finish(Outcome outcome) {
+            over = true;
+            answer.ended(outcome, kept());
         }
 
         @Override
@@ -93,12 +109,13 @@
 
         @Override
         public void end() {
+            over = true;
             if (unfit) {
                 answer.unfit();
                 return;
             }
             if (meaning == Outcome.SERVED && framed && events.rest().length > 0) answer.event(events.rest());
-            answer.ended(meaning == Outcome.SERVED && !framed ? Outcome.RESET : meaning, kept());
+            finish(meaning == Outcome.SERVED && !framed ? Outcome.RESET : meaning);
         }
 
         private double kept() {
@@ -112,7 +129,7 @@
 
         @Override
         public void failed(Failure failure) {
-            answer.ended(Outcomes.broken(meaning, failure), 0);
+            finish(Outcomes.broken(meaning, failure));
         }
     }
 
--- a/src/test/java/maplerail/support/HeldTimes.java
+++ b/src/test/java/maplerail/support/HeldTimes.java
@@ -56,6 +56,11 @@
         if (!state.isHeld()) state.sinceMs = nowMs();
     }
 
+    /** A writer fetches the state. */
+    public synchronized void taken(String id) {
+        state(id).end(true);
+    }
+
     /** A release has come to an engine that runs. */
     public synchronized void released(String id) {
         State state = state(id);
