Send an answer though the next request behind it is not whole yet

What callers saw: who sent a request without a body and the beginning of the next one got no answer until the next one was whole, and none at all if that never came.

Cause: BUFFER_PIPELINED_DATA, inherited. With it the HTTP server holds the answer to a request that has no body while bytes lie behind the request, to send it together with the next one. The option is left out.

--- a/src/main/java/maplerail/cli/Gateway.java
+++ b/src/main/java/maplerail/cli/Gateway.java
@@ -182,7 +182,7 @@
             throws IOException {
         HttpOpenListener http = new HttpOpenListener(buffers, OptionMap.builder()
                 .set(UndertowOptions.ALWAYS_SET_DATE, false).set(UndertowOptions.MAX_HEADER_SIZE, MOST_HEAD)
-                .set(UndertowOptions.BUFFER_PIPELINED_DATA, true).getMap());
+                .getMap());
         http.setRootHandler(handler);
         int most = config.wire().sockets() * percent / 100;
         ClientListener listener = new ClientListener(http, loop, most, broker.counters());
--- a/src/test/java/maplerail/front/PlatformTest.java
+++ b/src/test/java/maplerail/front/PlatformTest.java
@@ -299,6 +299,53 @@
         }
     }
 
+    /** However much of the next requests stands behind it, and whether or not that is ever whole. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 40, 250, 1_000})
+    void whatStandsBehindARequestHoldsUpNothingOfItsAnswer(int behind) throws Exception {
+        BlockingQueue<StandIn.Exchange> streams = World.queue();
+        try (StandIn reader = World.reader();
+                StandIn writer = new StandIn(streams::add);
+                World world = new World().engine("r", "prefill", reader).engine("w", "decode", writer).start();
+                Socket client = world.connect()) {
+            client.setSoTimeout(2_000);
+            String next = request("a2", "lookup", "5.0").repeat(9).substring(0, behind);
+            client.getOutputStream().write((request("a1", "lookup", "5.0") + next).getBytes(StandardCharsets.UTF_8));
+            StandIn.Exchange stream = take(streams);
+            stream.stream();
+            stream.chunk("data: one\n\n");
+            assertThat(World.readUntil(client, "data: one\n\n")).contains("data: one\n\n");
+            stream.chunk("data: [DONE]\n\n");
+            stream.last();
+            assertThat(World.readUntil(client, "\r\n0\r\n\r\n")).contains("[DONE]").endsWith("\r\n0\r\n\r\n");
+        }
+    }
+
+    /** An answer that no engine makes as well. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 40, 250, 1_000})
+    void whatStandsBehindARequestHoldsUpNoRefusal(int behind) throws Exception {
+        try (World world = new World().start(); Socket client = world.connect()) {
+            client.setSoTimeout(2_000);
+            String next = request("a2", "lookup", "5.0").repeat(9).substring(0, behind);
+            client.getOutputStream().write((request("a1", "nonsense", "5.0") + next).getBytes(StandardCharsets.UTF_8));
+            assertThat(World.readUntil(client, "Req-Kind: unknown")).startsWith("HTTP/1.1 400");
+        }
+    }
+
+    /** Nor one to a request without a body. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 40, 250})
+    void whatStandsBehindALookForReadinessHoldsUpNothing(int behind) throws Exception {
+        try (World world = new World().start(); Socket client = world.connect()) {
+            client.setSoTimeout(2_000);
+            String next = request("a2", "lookup", "5.0").repeat(2).substring(0, behind);
+            String ready = "GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n";
+            client.getOutputStream().write((ready + next).getBytes(StandardCharsets.UTF_8));
+            assertThat(World.readUntil(client, "\r\n\r\n")).startsWith("HTTP/1.1 200");
+        }
+    }
+
     /** What came early stands before the end of the client's side: whoever stops reading there never sees it leave. */
     @ParameterizedTest
     @ValueSource(ints = {9, 1_000})
