Turn out half a request behind a whole one within 3 s, as any other

What callers saw: a client that sent a request and the first bytes of the next, and then stopped, kept its connection for 30 s instead of an error or a close within 3 s. While it stopped there it counted as idle, so that it could be closed at an exit or for room although the server had bytes, or a whole request in its turn, of it.

Cause: ClientListener saw a request begin only when bytes were read from the socket; those behind a request had been read already. Now what stands behind a request makes its connection one with a request on its way, and so does a head that the server has whole.

PlatformTest, DrainTest, MalformedRequestTest, ToolCallTest and ArrivalLogTest pass.

--- a/src/main/java/maplerail/front/ClientListener.java
+++ b/src/main/java/maplerail/front/ClientListener.java
@@ -116,21 +116,38 @@
     /** Bytes were read: a connection with a request on its way does not count as idle. */
     private void came(Tracked client) {
         client.heardMs = loop.nowMs();
+        begun(client);
+    }
+
+    private void begun(Tracked client) {
         // A new connection's time to get its request in runs from its start: it may be fed a byte at a time.
         if (client.state == State.IDLE) client.sinceMs = loop.nowMs();
         if (client.state == State.IDLE || client.state == State.SILENT) client.state = State.ARRIVING;
     }
 
-    /** A request's head is whole; its connection is idle again once the request is answered to the last byte. */
+    /**
+     * A request's head is whole; its connection is idle again once the request is answered to the last byte, unless
+     * more came behind it: no further byte need come then, and the server may have the next request whole already.
+     */
     public void entered(HttpServerExchange exchange) {
+        Tracked entering = find(exchange);
+        if (entering != null) begun(entering);
         exchange.addExchangeCompleteListener((done, proceed) -> {
             set(done, State.IDLE);
             Tracked client = find(done);
-            if (client != null) client.arrivals.requestEnded(unread((HttpServerConnection) done.getConnection()));
+            if (client != null) ended(client, done);
             proceed.proceed();
         });
     }
 
+    private void ended(Tracked client, HttpServerExchange exchange) {
+        int unread = unread((HttpServerConnection) exchange.getConnection());
+        client.arrivals.requestEnded(unread);
+        if (unread == 0 || !exchange.isPersistent()) return;
+        client.heardMs = loop.nowMs();
+        begun(client);
+    }
+
     /** What the server has of the requests behind the present one. */
     private static int unread(HttpServerConnection connection) {
         PooledByteBuffer extra = connection.getExtraBytes();
--- a/src/test/java/maplerail/front/ClientListenerTest.java
+++ b/src/test/java/maplerail/front/ClientListenerTest.java
@@ -65,6 +65,17 @@
         }
     }
 
+    /** However it came: half a request behind a whole one is owed the same end as any other. */
+    @Test
+    void halfARequestBehindAWholeOneIsTurnedOutAsAnyOther() throws Exception {
+        try (World world = new World().start(); Socket client = send(world, READY + "POST / HTTP/1.1\r\nReq-")) {
+            long startNanos = System.nanoTime();
+            String came = World.readAll(client.getInputStream());
+            assertThat(System.nanoTime() - startNanos).as("by TERMS").isLessThan(3_000_000_000L);
+            assertThat(came).startsWith("HTTP/1.1 200").contains("HTTP/1.1 408");
+        }
+    }
+
     /** As long as its client waits and goes on writing, however slowly. */
     @Test
     void aRequestWhoseBodyKeepsComingIsServed() throws Exception {
