Leave no request that ends without its answer out of the log

What callers saw: a stream or connection that ended too early, and no line of the request in any gateway's log.

The failed flush has no test.

--- a/src/main/java/maplerail/core/AttemptRunner.java
+++ b/src/main/java/maplerail/core/AttemptRunner.java
@@ -27,13 +27,14 @@
     private final RepeatLog repeats;
     private final RuleMonitor monitor;
     private final ServiceCounters counters;
+    private final FailureLog failureLog;
     private final Consumer<String> log;
     private final Set<ActiveRequest> touched = new LinkedHashSet<>();
     private DecisionLoop decisions;
     private Consumer<ActiveRequest> gone;
 
     AttemptRunner(Engines engines, Loop loop, Fleet fleet, RequestRegistry registry, HeldStates held, Relay relay,
-            Router.Settings settings, RuleMonitor monitor, ServiceCounters counters,
+            Router.Settings settings, RuleMonitor monitor, ServiceCounters counters, FailureLog failureLog,
             Consumer<String> log) {
         this.engines = engines;
         this.loop = loop;
@@ -45,6 +46,7 @@
         this.repeats = new RepeatLog(settings.classes(), counters, log);
         this.monitor = monitor;
         this.counters = counters;
+        this.failureLog = failureLog;
         this.log = log;
     }
 
@@ -176,6 +178,7 @@
         if (!last) return;
         cutAll(active);
         decisions.tell(new Router.Abandoned(active.number));
+        failureLog.bad(active, "turned away by an engine as unfit");
         active.caller.fail(Caller.Why.INVALID);
     }
 
--- a/src/main/java/maplerail/core/Broker.java
+++ b/src/main/java/maplerail/core/Broker.java
@@ -45,7 +45,8 @@
         admission = new Admission(loop, registry);
         failureLog = new FailureLog(loop, log);
         relay = new Relay(registry, loop, failureLog, counters);
-        runner = new AttemptRunner(engines, loop, fleet, registry, held, relay, settings, monitor, counters, log);
+        runner = new AttemptRunner(engines, loop, fleet, registry, held, relay, settings, monitor, counters, failureLog,
+                log);
         decisions = new DecisionLoop(router, loop, this::perform, runner::settle, log);
         runner.use(decisions, this::gone);
     }
@@ -166,7 +167,11 @@
     }
 
     private void gone(ActiveRequest active) {
-        if (!registry.answer(active)) return;
+        if (!registry.answer(active)) {
+            boolean whole = active.winner != null && active.winner.outcome == Router.Outcome.SERVED;
+            if (whole) failureLog.broken(active, "left by its client before the end of its answer had gone out");
+            return;
+        }
         counters.count(FinalAnswer.CLIENT_LEFT);
         failureLog.bad(active, "left by its client");
         leave(active);
--- a/src/main/java/maplerail/core/Relay.java
+++ b/src/main/java/maplerail/core/Relay.java
@@ -39,7 +39,7 @@
             active.caller.end();
             return;
         }
-        failureLog.bad(active, "broken (" + outcome + ")");
+        failureLog.broken(active, "broken (" + outcome + ")");
         active.caller.broken();
     }
 }
--- a/src/main/java/maplerail/front/platform/Answer.java
+++ b/src/main/java/maplerail/front/platform/Answer.java
@@ -7,16 +7,21 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
+import java.util.List;
 import java.util.Locale;
 import maplerail.core.Caller;
 import maplerail.core.RequestHandle;
 import maplerail.core.ServiceCounters;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.xnio.IoUtils;
 import org.xnio.channels.StreamSinkChannel;
 import org.xnio.conduits.StreamSourceConduit;
 
 /** A client's open request: relays a stream to it as it comes, or words the one final answer. */
 final class Answer implements Caller {
+    private static final Logger LOG = LoggerFactory.getLogger(Answer.class);
+
     /** By what a client is held to have left. */
     private enum Left {
         END_OF_INPUT, READ_FAILED, WRITE_FAILED
@@ -163,6 +168,7 @@
         try {
             if (sink.flush()) sink.suspendWrites();
         } catch (IOException e) {
+            LOG.info("request {}: the end of its answer could not be written: {}", id(), e.getMessage());
             IoUtils.safeClose(exchange.getConnection());
         }
     }
@@ -179,6 +185,7 @@
     public void broken() {
         if (over) return;
         finish();
+        tellWhatStandsBehind();
         // What is still waiting goes out if it can at once; then the connection ends with no last chunk.
         try {
             while (!waiting.isEmpty() && sink.write(waiting.peek()) > 0) {
@@ -191,6 +198,17 @@
         IoUtils.safeClose(exchange.getConnection());
     }
 
+    /** The connection is about to end: requests that came behind this one go with it, and have no other line. */
+    private void tellWhatStandsBehind() {
+        if (!(exchange.getConnection() instanceof HttpServerConnection connection)) return;
+        List<String> behind = EarlyBytes.ids(connection);
+        if (!behind.isEmpty()) LOG.info("request {}: ends its connection, and with it requests {}", id(), behind);
+    }
+
+    private String id() {
+        return exchange.getRequestHeaders().getFirst("Req-Id");
+    }
+
     @Override
     public void refuse(Why why, double retryAfterMs) {
         if (retryAfterMs > 0) {
--- a/src/main/java/maplerail/front/platform/EarlyBytes.java
+++ b/src/main/java/maplerail/front/platform/EarlyBytes.java
@@ -4,8 +4,11 @@
 import io.undertow.server.protocol.http.HttpServerConnection;
 import io.undertow.util.ImmediatePooledByteBuffer;
 import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.regex.Pattern;
 
 /**
  * What clients send behind a request that is not answered yet (pipelining). It is kept for the server, which reads it
@@ -18,6 +21,10 @@
     private static final int PER_CONNECTION_WHEN_FULL = 64 * 1024;
     private static final long IN_ALL = 8L << 20;
 
+    private static final Pattern ID = Pattern.compile("\\nReq-Id: ?([0-9A-Za-z._~-]{1,128})\\r?\\n",
+            Pattern.CASE_INSENSITIVE);
+    private static final int MOST_IDS = 8; // in a log line
+
     private final Map<HttpServerConnection, Integer> kept = new HashMap<>();
     private long keptInAll;
 
@@ -35,6 +42,14 @@
         if (before != null) keptInAll -= before;
     }
 
+    /** The ids of requests that are kept of a connection, as far as they have come; for the log. */
+    static List<String> ids(HttpServerConnection connection) {
+        PooledByteBuffer extra = connection.getExtraBytes();
+        if (extra == null) return List.of();
+        String text = StandardCharsets.ISO_8859_1.decode(extra.getBuffer().duplicate()).toString();
+        return ID.matcher(text).results().map(found -> found.group(1)).limit(MOST_IDS).toList();
+    }
+
     private static int append(HttpServerConnection connection, ByteBuffer received) {
         PooledByteBuffer before = connection.getExtraBytes();
         ByteBuffer old = before == null ? ByteBuffer.allocate(0) : before.getBuffer();
--- /dev/null
+++ b/src/test/java/maplerail/cli/RequestLogIT.java
@@ -0,0 +1,44 @@
+package maplerail.cli;
+
+import static maplerail.support.World.await;
+import static maplerail.support.World.take;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.concurrent.BlockingQueue;
+import maplerail.support.GatewayProgram;
+import maplerail.support.StandIn;
+import maplerail.support.World;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** What the log of the real program says of requests whose connection ends without their answer. */
+class RequestLogIT {
+    @TempDir
+    Path folder;
+
+    /** The stream's line names one request; the other one was taken too and gets no answer. */
+    @Test
+    void aRequestBehindABrokenStreamIsTold() throws Exception {
+        BlockingQueue<StandIn.Exchange> streams = World.queue();
+        try (StandIn reader = World.reader();
+                StandIn writer = new StandIn(x -> {
+                    x.stream();
+                    x.chunk("data: 1\n\n");
+                    streams.add(x);
+                });
+                World world = new World().engine("r", "prefill", reader).engine("w", "decode", writer);
+                GatewayProgram gateway = GatewayProgram.serve(folder, world.config("127.0.0.1:0"));
+                Socket client = new Socket("127.0.0.1", gateway.readyPort())) {
+            String both = World.request("a1", "lookup", "5.0") + World.request("a2", "lookup", "5.0");
+            client.getOutputStream().write(both.getBytes(StandardCharsets.UTF_8));
+            assertThat(World.readUntil(client, "data: 1\n\n")).startsWith("HTTP/1.1 200");
+            take(streams).reset();
+            assertThat(World.readAll(client.getInputStream())).doesNotContain("\r\n0\r\n");
+            await("told", () -> gateway.log().contains("request a1 kind 0 broken (RESET)"));
+            assertThat(gateway.log()).contains("request a1: ends its connection, and with it requests [a2]");
+        }
+    }
+}
