Hear a list of engines to its end though it comes slowly

What callers saw: a gateway that starts, or was told of another discovery, was not ready as long as the whole list took more than 2.25 s to arrive; it gave the call up and asked for the whole list again, for good. A list of changes had 3.75 s at most.

Cause: PlatformWatch and BlockingQuery counted the time to the end of the answer. They count silence now: a call whose answer is coming is looked at again after 0.5 s (Consul: 3.25 s) without a byte. A call that falls silent, in the middle of a list too, is followed by another within the time to be told, as before.

Evidence: PlatformWatchTest.aListThatKeepsComingIsHeard, a list in pieces over 5 s, never came to its end before and passes now; aListThatStopsIsAskedForAgainWithinTheTimeToBeTold passes before and after. For Consul's queries the 3.25 s have no test of their own; ConsulTest and ToolCallTest pass.

--- a/src/main/java/maplerail/discovery/BlockingQuery.java
+++ b/src/main/java/maplerail/discovery/BlockingQuery.java
@@ -50,7 +50,13 @@
         String target = path + (index == 0 ? "" : "?index=" + index + "&wait=" + WAIT_S + "s");
         QueryCall asked = new QueryCall();
         Call call = pool.start(at, Requests.to(at, Methods.GET, target), new byte[0], asked);
-        loop.at(loop.nowMs() + WAIT_S * 1_000 + GRACE_MS, () -> asked.expire(call));
+        lookAfter(WAIT_S * 1_000 + GRACE_MS, asked, call);
+    }
+
+    private void lookAfter(double afterMs, QueryCall asked, Call call) {
+        loop.at(loop.nowMs() + afterMs, () -> {
+            if (asked.expire(call)) lookAfter(GRACE_MS, asked, call);
+        });
     }
 
     /**
--- a/src/main/java/maplerail/discovery/PlatformWatch.java
+++ b/src/main/java/maplerail/discovery/PlatformWatch.java
@@ -27,6 +27,8 @@
     private static final long WAIT_MS = 1_500;
     /** Past its wait, after which a call is held to be lost; a discovery that is behind answers after 2 s at the latest. */
     private static final double GRACE_MS = 2_250;
+    /** Without a byte of an answer that has begun late, after which its call is held to be lost as well. */
+    private static final double SILENT_MS = 500;
     private static final double DOUBT_MS = 2_000; // after a move, in which a list older than ours is not believed
 
     private final Pool pool;
@@ -96,7 +98,11 @@
         void start(ClientRequest request) {
             Call call = pool.start(at, request, new byte[0], this);
             // Guards against an agent that was cut off: its connection would stay open and silent.
-            loop.at(loop.nowMs() + waitMs() + GRACE_MS, () -> expire(call));
+            loop.at(loop.nowMs() + waitMs() + GRACE_MS, () -> look(call));
+        }
+
+        private void look(Call call) {
+            if (expire(call)) loop.at(loop.nowMs() + SILENT_MS, () -> look(call));
         }
 
         @Override
--- a/src/main/java/maplerail/net/TextReply.java
+++ b/src/main/java/maplerail/net/TextReply.java
@@ -13,6 +13,7 @@
     private int status;
     private HeaderMap headers;
     private boolean over;
+    private boolean cameSinceLook;
 
     /** The whole answer; false if it is of no use, which then counts as none. */
     protected abstract boolean whole(int code, HeaderMap head, String body);
@@ -20,11 +21,21 @@
     /** No answer came, or none of use. */
     protected abstract void none();
 
-    /** Gives up a call that should have been answered by now. */
-    public final void expire(Call call) {
-        if (over) return;
+    /**
+     * Gives up a call that should have been answered by now, unless its answer is coming: one that is large or comes in
+     * pieces over a slow way would be given up again and again, each time anew.
+     *
+     * @return true if it goes on, and is to be looked at again
+     */
+    public final boolean expire(Call call) {
+        if (over) return false;
+        if (cameSinceLook) {
+            cameSinceLook = false;
+            return true;
+        }
         call.abort();
         failed(Failure.BROKEN);
+        return false;
     }
 
     @Override
@@ -35,6 +46,7 @@
 
     @Override
     public final void body(ByteBuffer piece) {
+        cameSinceLook = true;
         while (piece.hasRemaining() && text.size() < MOST) text.write(piece.get());
     }
 
--- a/src/test/java/maplerail/discovery/PlatformWatchTest.java
+++ b/src/test/java/maplerail/discovery/PlatformWatchTest.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
+import maplerail.cli.Gateway;
 import maplerail.config.NodeConfig;
 import maplerail.core.Lifecycle.Phase;
 import maplerail.support.StandIn;
@@ -82,6 +83,44 @@
         }
     }
 
+    /** From a discovery that is slow or crowded, a large list takes longer than a call is waited for. */
+    @Test
+    void aListThatKeepsComingIsHeard() throws Exception {
+        String list = "{\"seq\":7,\"whole\":true,\"hosts\":[]}";
+        try (StandIn agent = new StandIn(x -> {
+            if (!x.target.equals("/api/targets")) x.awaitEnd();
+            x.write("HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n");
+            x.drip(list, 5_000);
+        }); World world = new World().discoveredBy(agent)) {
+            String unknown = world.config("127.0.0.1:0").replaceFirst("\"known\":\\{.*?\\]\\},", "");
+            assertThat(unknown).doesNotContain("known");
+            Gateway gateway = new Gateway(NodeConfig.read(unknown, Map.of()), null);
+            try {
+                gateway.start();
+                await("asked for changes", () -> agent.count("GET /api/targets?index=7&") > 0);
+                assertThat(agent.count("GET /api/targets")).as("one whole list").isEqualTo(2);
+            } finally {
+                gateway.stop();
+            }
+        }
+    }
+
+    /** Its beginning does not make it less silent. */
+    @Test
+    void aListThatStopsIsAskedForAgainWithinTheTimeToBeTold() throws Exception {
+        List<Long> atNanos = new CopyOnWriteArrayList<>();
+        try (StandIn agent = new StandIn(x -> {
+            atNanos.add(System.nanoTime());
+            if (atNanos.size() == 1) x.reply(200, "{\"seq\":7,\"whole\":true,\"hosts\":[]}");
+            else x.write("HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\n{\"seq\":9,");
+            if (atNanos.size() > 1) x.awaitEnd();
+        }); World world = new World().discoveredBy(agent)) {
+            world.start();
+            await("opened anew", () -> atNanos.size() >= 3);
+            assertThat(atNanos.get(2) - atNanos.get(1)).isLessThan(4_500_000_000L);
+        }
+    }
+
     /** All nodes restart at once in a release, and each whole list takes an overloaded discovery's time. */
     @Test
     void aNodeGoesOnFromTheListThatItKnows() throws Exception {
