Show by failing tests a state held behind a 202 that stops, and a list cut in its chunk

The limit on heads and chunks does not run there: the head is whole and no chunk has begun; a read counts as ended, and its lease begins, at the end of its answer only.

Not mended here: Call and HeldStates.

--- a/src/test/java/maplerail/cli/SlowEngineIT.java
+++ b/src/test/java/maplerail/cli/SlowEngineIT.java
@@ -1,9 +1,12 @@
 package maplerail.cli;
 
+import static maplerail.support.World.await;
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.net.Socket;
 import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import maplerail.support.GatewayProgram;
@@ -16,6 +19,8 @@
 
 /** A real gateway beside engines that write slowly or stop, where a state may be held for 250 ms as on the hasty site. */
 class SlowEngineIT {
+    private static final double PIN_LIMIT_MS = 250;
+    private static final double SLACK_MS = 300; // that the rules on sockets add to it
     private static final double BROKEN_OFF_MS = 5_000; // after the last event of a stream that stopped, by TERMS
     private static final String HEAD = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
             + "Transfer-Encoding: chunked\r\n\r\n";
@@ -136,4 +141,41 @@
             assertThat(answer).startsWith("HTTP/1.1 200").contains("slowly").doesNotContain("\r\n0\r\n\r\n");
         }
     }
+
+    /** It has answered, so its state is held from then on; that the end of its answer never comes is no reason. */
+    @ParameterizedTest
+    @ValueSource(strings = {"Content-Length: 19\r\n\r\n", "Content-Length: 19\r\n\r\n{\"cached",
+            "Transfer-Encoding: chunked\r\n\r\n"})
+    void aStateIsLetGoInTimeThoughItsReadersAnswerStopsBehindTheHead(String stops) throws Exception {
+        assertLetGoInTime(stops);
+    }
+
+    /** Nor that it stops in the middle of a chunk. */
+    @Test
+    void aStateIsLetGoInTimeThoughItsReadersAnswerStopsInAChunk() throws Exception {
+        assertLetGoInTime("Transfer-Encoding: chunked\r\n\r\n13\r\n{\"cached");
+    }
+
+    private void assertLetGoInTime(String stops) throws Exception {
+        List<Double> callsMs = new CopyOnWriteArrayList<>();
+        try (StandIn reads = new StandIn(x -> {
+            callsMs.add(nowMs()); // a read renews what is held, a release ends it
+            if (x.method.equals("DELETE")) {
+                x.reply(204, "");
+                return;
+            }
+            x.write("HTTP/1.1 202 Accepted\r\n" + stops);
+            x.awaitEnd();
+        });
+                StandIn writes = engine(x -> x.reply(500, ""));
+                World world = new World().engine("r", "prefill", reads).engine("w", "decode", writes);
+                GatewayProgram gateway = gateway(world)) {
+            assertThat(gateway.say(World.request("a1", "repair-order", "2.0"))).startsWith("HTTP/1.1 ");
+            await("released", () -> reads.count("DELETE") > 0);
+            for (int i = 1; i < callsMs.size(); i++) {
+                double heldMs = callsMs.get(i) - callsMs.get(i - 1);
+                assertThat(heldMs).as(gateway.log()).isLessThan(PIN_LIMIT_MS + SLACK_MS);
+            }
+        }
+    }
 }
--- a/src/test/java/maplerail/discovery/PlatformWatchTest.java
+++ b/src/test/java/maplerail/discovery/PlatformWatchTest.java
@@ -105,6 +105,25 @@
         }
     }
 
+    /** Of that, too, a site's limit on held states says nothing. */
+    @Test
+    void aListInOneChunkThatComesInPiecesIsHeard() throws Exception {
+        String list = "{\"seq\":7,\"whole\":true,\"hosts\":[]}";
+        AtomicInteger asked = new AtomicInteger();
+        try (StandIn agent = new StandIn(x -> {
+            if (asked.incrementAndGet() > 1) {
+                x.awaitEnd();
+                return;
+            }
+            x.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            x.drip(Integer.toHexString(list.length()) + "\r\n" + list + "\r\n0\r\n\r\n", 1_000);
+        }); World world = new World().discoveredBy(agent)) {
+            world.begin();
+            await("asked again", () -> asked.get() > 1);
+            assertThat(agent.seen.get(1)).startsWith("GET /api/targets?index=7&");
+        }
+    }
+
     /** Its beginning does not make it less silent. */
     @Test
     void aListThatStopsIsAskedForAgainWithinTheTimeToBeTold() throws Exception {
