Show a request that waits past its time behind a crowd of silent connections

Callers saw answers up to 1.05 s past their deadline, which count as none: a request is taken once its connection is accepted by the machine, and behind 500 silent connections at 256 descriptors it waits in the system's queue.

Cause: with all 140 places of clients taken nothing is accepted, and only an eighth of the places, 17, is freed each 50 ms, after 200 ms of silence: 340 connections in a second. The wait there is not charged either.

--- a/src/test/java/maplerail/front/ClientListenerTest.java
+++ b/src/test/java/maplerail/front/ClientListenerTest.java
@@ -30,6 +30,9 @@
 
 class ClientListenerTest {
     private static final int LIMIT_MS = 20_000; // ends a test that would never end
+    private static final int SILENT_CROWD = 700;
+    private static final String BUDGET_S = "0.8";
+    private static final double LOST_MS = 500; // past its time, from which an answer counts as none
     private static final String READY = "GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n";
 
     private static Socket send(World world, String text) throws Exception {
@@ -165,6 +168,26 @@
         }
     }
 
+    /** They wait in the system's queue before it, and a request's time runs there too. */
+    @Test
+    void aRequestBehindACrowdThatSaysNothingIsAnsweredInItsTime() throws Exception {
+        List<Socket> silent = new ArrayList<>();
+        try (StandIn reader = World.reader();
+                StandIn writer = World.writer();
+                World world = new World().sockets(256).engine("r", "prefill", reader).engine("w", "decode", writer)
+                        .start()) {
+            for (int i = 0; i < SILENT_CROWD; i++) silent.add(world.connect());
+            try (Socket client = send(world, request("a1", "lookup", BUDGET_S))) {
+                long sentNanos = System.nanoTime();
+                World.readUntil(client, "HTTP/1.1 ");
+                double tookMs = (System.nanoTime() - sentNanos) / 1e6;
+                assertThat(tookMs).as("until the answer").isLessThan(1_000 * Double.parseDouble(BUDGET_S) + LOST_MS);
+            }
+        } finally {
+            for (Socket socket : silent) socket.close();
+        }
+    }
+
     /** Clients that ask once and stay would otherwise take every descriptor. */
     @Test
     void idleConnectionsMakeRoomForNewOnes() throws Exception {
