Free all places of the silent at once while none is left for clients

While no place is left, each connection that has said nothing for 50 ms is ended, in place of 17 of 140 each 50 ms after 200 ms; idle ones, which the same look ended besides, go only where the silent were not enough.

Not mended by this: the wait in the system's queue is still not charged in full.

--- a/src/main/java/maplerail/front/ClientListener.java
+++ b/src/main/java/maplerail/front/ClientListener.java
@@ -35,6 +35,7 @@
     private static final double STALLED_MS = 1_000;
     private static final double IDLE_MS = 2_000; // for which a client may rely on an idle connection
     private static final double SILENT_MS = 200; // for which a new one may be silent while room is short
+    private static final double FULL_SILENT_MS = 50; // and while there is none: with it, its first request comes
     private static final double LONG_IDLE_MS = 30_000;
     private static final double LOOK_MS = 50;
     private static final double BACKLOG_MS = 100; // in which the backlog has emptied once accept works again
@@ -200,8 +201,7 @@
             if (late) ended.put(connection, lateAs(client.state));
         });
         ended.forEach(this::turnOutUnlessHeard);
-        end(State.IDLE, tracked.size() >= most - most / FULL_PART ? SILENT_MS : IDLE_MS, now);
-        end(State.SILENT, SILENT_MS, now);
+        makeRoom(now);
         looking = !tracked.isEmpty();
         if (looking) loop.at(now + LOOK_MS, this::look);
     }
@@ -242,16 +242,28 @@
         IoUtils.safeClose(connection);
     }
 
-    /** While room is short, ends those that have been in a state for the longest. */
-    private void end(State state, double leastMs, double now) {
+    /**
+     * While room is short, ends those that say nothing, then those that are idle. With no place left, as many of the
+     * silent as there are: behind them requests may wait in the system's queue, and their time runs.
+     */
+    private void makeRoom(double now) {
         int over = tracked.size() - (most - most / ROOM_PART);
         if (over <= 0) return;
-        tracked.entrySet().stream()
+        boolean full = tracked.size() >= most - most / FULL_PART;
+        int silent = full ? end(State.SILENT, FULL_SILENT_MS, tracked.size(), now)
+                : end(State.SILENT, SILENT_MS, over, now);
+        end(State.IDLE, full ? SILENT_MS : IDLE_MS, over - silent, now);
+    }
+
+    /** Ends at most so many that have been in a state for the longest, and returns how many. */
+    private int end(State state, double leastMs, int atMost, double now) {
+        List<StreamConnection> longest = tracked.entrySet().stream()
                 .filter(e -> e.getValue().state == state && ProtocolRules.close(false, now - e.getValue().sinceMs,
                         leastMs) == Reason.ALLOWED)
                 .sorted((a, b) -> Double.compare(a.getValue().sinceMs, b.getValue().sinceMs))
-                .limit(over).map(Map.Entry::getKey).toList()
-                .forEach(connection -> turnOutUnlessHeard(connection, Closed.ROOM_SHORT));
+                .limit(Math.max(0, atMost)).map(Map.Entry::getKey).toList();
+        longest.forEach(connection -> turnOutUnlessHeard(connection, Closed.ROOM_SHORT));
+        return longest.size();
     }
 
     /** Ends the connections on which nothing is open or on its way, for a program that is about to stop. */
