End requests that stopped within 0.25 s of silence while no place is left

While no place is left for clients, one whose request has stopped for 250 ms gets its 408, in place of after 2.5 s. A connection that is ended to make room is left alone if any byte came by then.

--- a/src/main/java/maplerail/front/ClientListener.java
+++ b/src/main/java/maplerail/front/ClientListener.java
@@ -11,6 +11,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.BooleanSupplier;
 import maplerail.core.Loop;
 import maplerail.core.ServiceCounters;
 import maplerail.policy.ProtocolRules;
@@ -36,6 +37,7 @@
     private static final double IDLE_MS = 2_000; // for which a client may rely on an idle connection
     private static final double SILENT_MS = 200; // for which a new one may be silent while room is short
     private static final double FULL_SILENT_MS = 50; // and while there is none: with it, its first request comes
+    private static final double FULL_STALLED_MS = 250; // after which one that stopped within a request is ended then
     private static final double LONG_IDLE_MS = 30_000;
     private static final double LOOK_MS = 50;
     private static final double BACKLOG_MS = 100; // in which the backlog has emptied once accept works again
@@ -69,6 +71,11 @@
         /** When the last bytes came, and for how long the request that is arriving may go on if more keep coming. */
         double heardMs;
         double arriveMs = ARRIVE_MS;
+
+        /** Since when it has been in its state with no byte from its client. */
+        double quietSinceMs() {
+            return Math.max(sinceMs, heardMs);
+        }
     }
 
     /**
@@ -214,11 +221,24 @@
         Tracked client = tracked.get(connection);
         State state = client.state;
         double sinceMs = client.sinceMs;
+        turnOutAfterInput(connection, why, () -> client.state == state && client.sinceMs == sinceMs);
+    }
+
+    /** Ends a connection to make room, unless a byte has come on it by now. */
+    private void turnOutIfQuiet(StreamConnection connection) {
+        Tracked client = tracked.get(connection);
+        State state = client.state;
+        double quietSinceMs = client.quietSinceMs();
+        turnOutAfterInput(connection, Closed.ROOM_SHORT,
+                () -> client.state == state && client.quietSinceMs() == quietSinceMs);
+    }
+
+    private void turnOutAfterInput(StreamConnection connection, Closed why, BooleanSupplier unchanged) {
         loop.afterInput(() -> {
-            boolean unchanged = client.state == state && client.sinceMs == sinceMs;
             if (!tracked.containsKey(connection)) return;
-            counters.count(unchanged ? why : Closed.HEARD_IN_TIME);
-            if (unchanged) turnOut(connection);
+            boolean ends = unchanged.getAsBoolean();
+            counters.count(ends ? why : Closed.HEARD_IN_TIME);
+            if (ends) turnOut(connection);
         });
     }
 
@@ -243,26 +263,28 @@
     }
 
     /**
-     * While room is short, ends those that say nothing, then those that are idle. With no place left, as many of the
-     * silent as there are: behind them requests may wait in the system's queue, and their time runs.
+     * While room is short, ends those that say nothing, then those that are idle. With no place left, as many as there
+     * are that say nothing or stopped within a request: behind them requests may wait in the system's queue, and their
+     * time runs.
      */
     private void makeRoom(double now) {
         int over = tracked.size() - (most - most / ROOM_PART);
         if (over <= 0) return;
         boolean full = tracked.size() >= most - most / FULL_PART;
-        int silent = full ? end(State.SILENT, FULL_SILENT_MS, tracked.size(), now)
+        int ended = full ? end(State.SILENT, FULL_SILENT_MS, tracked.size(), now)
                 : end(State.SILENT, SILENT_MS, over, now);
-        end(State.IDLE, full ? SILENT_MS : IDLE_MS, over - silent, now);
+        if (full) ended += end(State.ARRIVING, FULL_STALLED_MS, tracked.size(), now);
+        end(State.IDLE, full ? SILENT_MS : IDLE_MS, over - ended, now);
     }
 
-    /** Ends at most so many that have been in a state for the longest, and returns how many. */
+    /** Ends at most so many that have been in a state with no byte for the longest, and returns how many. */
     private int end(State state, double leastMs, int atMost, double now) {
         List<StreamConnection> longest = tracked.entrySet().stream()
-                .filter(e -> e.getValue().state == state && ProtocolRules.close(false, now - e.getValue().sinceMs,
-                        leastMs) == Reason.ALLOWED)
-                .sorted((a, b) -> Double.compare(a.getValue().sinceMs, b.getValue().sinceMs))
+                .filter(e -> e.getValue().state == state
+                        && ProtocolRules.close(false, now - e.getValue().quietSinceMs(), leastMs) == Reason.ALLOWED)
+                .sorted((a, b) -> Double.compare(a.getValue().quietSinceMs(), b.getValue().quietSinceMs()))
                 .limit(Math.max(0, atMost)).map(Map.Entry::getKey).toList();
-        longest.forEach(connection -> turnOutUnlessHeard(connection, Closed.ROOM_SHORT));
+        longest.forEach(this::turnOutIfQuiet);
         return longest.size();
     }
 
