Do not take a request that waits for its turn for one that stopped

It is in a state of its own now until its turn comes.

No test of its own yet: the wait has to be longer than 250 ms.

--- a/src/main/java/maplerail/front/ClientListener.java
+++ b/src/main/java/maplerail/front/ClientListener.java
@@ -8,9 +8,11 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.EnumSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
 import maplerail.core.Loop;
 import maplerail.core.ServiceCounters;
@@ -48,7 +50,9 @@
     private static final int ROOM_PART = 8; // of the places: kept free by ending what is idle
     private static final int FULL_PART = 32; // with fewer left nobody new gets in: any idle one may have to go
 
-    private enum State { SILENT, ARRIVING, OPEN, IDLE, KEPT }
+    private enum State { SILENT, ARRIVING, WAITING, OPEN, IDLE, KEPT }
+
+    private static final Set<State> BUSY = EnumSet.of(State.ARRIVING, State.WAITING, State.OPEN);
 
     /** Why the gateway ended a client's connection, or left it open after all. */
     private enum Closed {
@@ -165,6 +169,20 @@
         return extra == null ? 0 : extra.getBuffer().remaining();
     }
 
+    /** A request that has come waits for its turn: however long that takes, its client has not stopped. */
+    public void waits(HttpServerExchange exchange) {
+        Tracked client = find(exchange);
+        if (client != null && client.state == State.ARRIVING) client.state = State.WAITING;
+    }
+
+    /** Its turn has come: what is missing of it may arrive. */
+    public void turnCame(HttpServerExchange exchange) {
+        Tracked client = find(exchange);
+        if (client == null || client.state != State.WAITING) return;
+        client.state = State.ARRIVING;
+        client.heardMs = loop.nowMs();
+    }
+
     /** A request's head is sound, and its client waits for so long: a body that keeps coming may take that time. */
     public void arriving(HttpServerExchange exchange, double budgetMs) {
         Tracked client = find(exchange);
@@ -317,8 +335,8 @@
 
     /** Connections on which a request is open or on its way. */
     public int busy() {
-        return (int) tracked.entrySet().stream().filter(e -> e.getKey().isOpen()
-                && (e.getValue().state == State.OPEN || e.getValue().state == State.ARRIVING)).count();
+        return (int) tracked.entrySet().stream().filter(e -> e.getKey().isOpen() && BUSY.contains(e.getValue().state))
+                .count();
     }
 
     /** Connections in all. */
--- a/src/main/java/maplerail/front/platform/PlatformFront.java
+++ b/src/main/java/maplerail/front/platform/PlatformFront.java
@@ -51,11 +51,16 @@
     @Override
     public void handleRequest(HttpServerExchange exchange) {
         listener.entered(exchange);
-        if (turns.handleNow()) handle(exchange);
-        else exchange.dispatch(turns, this::handle);
+        if (turns.handleNow()) {
+            handle(exchange);
+            return;
+        }
+        listener.waits(exchange);
+        exchange.dispatch(turns, this::handle);
     }
 
     private void handle(HttpServerExchange exchange) {
+        listener.turnCame(exchange);
         ServerConnection connection = exchange.getConnection();
         if (lifecycle.phase().ends()) exchange.getResponseHeaders().put(Headers.CONNECTION, "close");
         Answer answer = new Answer(exchange, early, broker.counters());
