Soak: readers that stop, and readers whose connections fall silent within reads

It never stopped a reader, and no read lasted longer than 720 ms, so that no state came up after the releases for a cut read had ended.

READERS_STOP stops some readers, also in the middle of reads, which go on and end when they run again. What is held there counts only once they run, as for engines that are cut off. READER_LOSES_READS lets each connection of a reader fall silent in the middle of a read, while new connections come up and work.

Nothing of the oracle has changed.

--- a/src/test/java/maplerail/soak/EngineStandIn.java
+++ b/src/test/java/maplerail/soak/EngineStandIn.java
@@ -10,9 +10,12 @@
 
 /** One reader or writer behind its own proxy: serves as the protocol page says, or misbehaves as it is told. */
 final class EngineStandIn implements AutoCloseable {
-    /** How it treats requests. One that is STOPPED does not run: its system takes connections and bytes for it. */
+    /**
+     * How it treats requests. One that is STOPPED does not run: its system takes connections and bytes for it. The
+     * connections of a reader that LOSES_READS fall silent in the middle of their reads, which go on.
+     */
     enum Behaviour {
-        SOUND, HANGS, FAILS, RESETS, SLOW, TURNS_AWAY, STOPPED
+        SOUND, HANGS, FAILS, RESETS, SLOW, TURNS_AWAY, STOPPED, LOSES_READS
     }
 
     private static final int READ_MS = 60;
@@ -91,11 +94,8 @@
     }
 
     private void handle(Exchange exchange) throws Exception {
-        if (behaviour == Behaviour.STOPPED) {
-            while (behaviour == Behaviour.STOPPED) Thread.sleep(STOPPED_LOOK_MS);
-            // What came before its end was given up meanwhile reaches nobody.
-            if (exchange.isEnded()) return;
-        }
+        // What came before its end was given up meanwhile reaches nobody.
+        if (waitedWhileStopped() && exchange.isEnded()) return;
         if (exchange.method.equals("DELETE")) {
             String[] parts = exchange.target.split("/");
             ledger.released(parts[parts.length - 1]);
@@ -139,12 +139,23 @@
         }
     }
 
+    /** True if it was stopped, and runs again now. */
+    private boolean waitedWhileStopped() throws InterruptedException {
+        if (behaviour != Behaviour.STOPPED) return false;
+        while (behaviour == Behaviour.STOPPED) Thread.sleep(STOPPED_LOOK_MS);
+        return true;
+    }
+
     private static int around(int ms) {
         return ms / 2 + ThreadLocalRandom.current().nextInt(ms);
     }
 
     private void read(Exchange exchange, Ledger.Attempt attempt, int mine, int factor) throws Exception {
-        Thread.sleep((long) factor * around(READ_MS));
+        int halfMs = factor * around(READ_MS) / 2;
+        Thread.sleep(halfMs);
+        if (behaviour == Behaviour.LOSES_READS) proxy.silence(exchange.connection());
+        Thread.sleep(halfMs);
+        waitedWhileStopped();
         if (mine != life) return;
         // Also a read that its gateway gave up meanwhile is held: the reader may not have noticed.
         ledger.held(attempt.request, host);
--- a/src/test/java/maplerail/soak/FaultProxy.java
+++ b/src/test/java/maplerail/soak/FaultProxy.java
@@ -137,6 +137,11 @@
         pipes.forEach(Pipe::silence);
     }
 
+    /** One connection, named as to the listener, falls silent for good. */
+    void silence(int connection) {
+        pipes.stream().filter(pipe -> pipe.engine.getLocalPort() == connection).forEach(Pipe::silence);
+    }
+
     /** Open connections fall silent and new ones do not come up, until told otherwise. */
     void cut(boolean off) throws IOException {
         if (!off) backSinceMs = Ledger.nowMs();
--- a/src/test/java/maplerail/soak/SoakFleet.java
+++ b/src/test/java/maplerail/soak/SoakFleet.java
@@ -79,7 +79,14 @@
     }
 
     void withOneEngine(SplittableRandom random, EngineTrouble what) throws Exception {
-        EngineStandIn engine = engines.get(random.nextInt(engines.size()));
+        withEngine(engines.get(random.nextInt(engines.size())), what);
+    }
+
+    void withOneReader(SplittableRandom random, EngineTrouble what) throws Exception {
+        withEngine(engines.get(random.nextInt(READERS)), what);
+    }
+
+    private void withEngine(EngineStandIn engine, EngineTrouble what) throws Exception {
         if (!busy.add(engine)) return;
         try {
             what.befall(engine);
@@ -88,12 +95,13 @@
         }
     }
 
-    /** Does something to some of the writers at once, to at least one and at most all. */
-    void withWriters(SplittableRandom random, EngineTrouble what, EngineTrouble after, int forMs) throws Exception {
+    /** Does something to some of the engines of a role at once, at most to all of them. */
+    void withRole(boolean readers, SplittableRandom random, EngineTrouble what, EngineTrouble after, int forMs)
+            throws Exception {
         List<EngineStandIn> hit = new ArrayList<>();
         double share = 0.25 + 0.75 * random.nextDouble();
         for (EngineStandIn engine : engines) {
-            if (!engine.reader && random.nextDouble() < share && busy.add(engine)) hit.add(engine);
+            if (engine.reader == readers && random.nextDouble() < share && busy.add(engine)) hit.add(engine);
         }
         try {
             for (EngineStandIn engine : hit) what.befall(engine);
--- a/src/test/java/maplerail/soak/Trouble.java
+++ b/src/test/java/maplerail/soak/Trouble.java
@@ -108,7 +108,7 @@
     WRITERS_STOP {
         @Override
         void play(SoakFleet fleet, SplittableRandom random) throws Exception {
-            fleet.withWriters(random, engine -> engine.behave(Behaviour.STOPPED),
+            fleet.withRole(false, random, engine -> engine.behave(Behaviour.STOPPED),
                     engine -> engine.behave(Behaviour.SOUND), 800 + random.nextInt(2_400));
         }
     },
@@ -224,6 +224,32 @@
                 agent.busy(false);
             }
         }
+    },
+    /** Readers stop, some of them in the middle of reads, and go on with what they had begun. */
+    READERS_STOP {
+        @Override
+        void play(SoakFleet fleet, SplittableRandom random) throws Exception {
+            fleet.withRole(true, random, engine -> {
+                // What is held there can be let go only once it runs again.
+                fleet.ledger.reach(engine.host, false);
+                engine.behave(Behaviour.STOPPED);
+            }, engine -> {
+                engine.behave(Behaviour.SOUND);
+                fleet.ledger.reach(engine.host, true);
+            }, 800 + random.nextInt(2_400));
+        }
+    },
+    /** New connections to a reader come up and work, but each falls silent in the middle of a read, which goes on. */
+    READER_LOSES_READS {
+        @Override
+        void play(SoakFleet fleet, SplittableRandom random) throws Exception {
+            int forMs = 1_000 + random.nextInt(2_000);
+            fleet.withOneReader(random, reader -> {
+                reader.behave(Behaviour.LOSES_READS);
+                TimeUnit.MILLISECONDS.sleep(forMs);
+                reader.behave(Behaviour.SOUND);
+            });
+        }
     };
 
     private static final int STALL_MS = 120; // with what the signals take, up to 150
