Log reads that end with no answer after a lease's term, and late releases of cut reads

Two lines, within the limit of HeldStates: a read that ended with no answer after more than a lease's term, with how far it had come, and a release for a cut read that goes out more than a term after the cut, with the request's attempts. No decision changes.

BrokerTest, LostWriteTest, RuleChecksTest, ArchitectureTest and FailoverTest pass; the whole of verify was not run.

--- a/src/main/java/maplerail/core/AttemptRunner.java
+++ b/src/main/java/maplerail/core/AttemptRunner.java
@@ -262,7 +262,7 @@
         if (outcome == told) held.attemptEnded(active, outcome);
         if (outcome == Outcome.READ) held.granted(active, attempt.engine);
         // A read that was cut off may have ended well just then.
-        if (attempt.reader && !outcome.neverRan) active.mayHold.add(attempt.engine);
+        if (attempt.reader && !outcome.neverRan) held.unanswered(active, attempt);
         // So may one whose connection broke: nobody has told its reader to stop.
         if (attempt.reader && outcome == Outcome.RESET) active.cutReadsMs.put(attempt.engine, loop.nowMs());
         // An answer may be whole without an event; it is the caller's all the same.
--- a/src/main/java/maplerail/core/HeldStates.java
+++ b/src/main/java/maplerail/core/HeldStates.java
@@ -69,6 +69,18 @@
         loop.at(lease.expiresMs(), () -> expired(active, engine, lease));
     }
 
+    /**
+     * A read has ended with no answer: its state may be held, and since when is not known. Told where that can be longer
+     * than a lease lasts, as no lease runs for it.
+     */
+    void unanswered(ActiveRequest active, ActiveRequest.Attempt read) {
+        active.mayHold.add(read.engine);
+        double outMs = loop.nowMs() - read.sentMs;
+        if (outMs <= termMs || !admitsLine()) return;
+        log.accept("read of " + active.request.id() + " at " + Long.toHexString(read.engine) + " ended " + read.outcome
+                + " after " + Math.round(outMs) + " ms, " + read.sending.trace());
+    }
+
     /** An attempt has ended: an answer of its engine proves that it was out until now. */
     void attemptEnded(ActiveRequest active, Router.Outcome outcome) {
         active.holds.values().forEach(lease -> lease.attemptEnded(outcome, loop.inputSinceMs()));
@@ -119,6 +131,7 @@
         counters.count(reason);
         if (lease != null) check(active, engine, lease);
         if (lease != null && reason != Reason.NO_LONGER_NEEDED) tell(active, engine, reason, lease);
+        if (lease == null) tellLate(active, engine);
         send(active, engine, loop.nowMs() + RETRY_TERMS * termMs);
         repeat(active, engine);
     }
@@ -136,6 +149,14 @@
                 + ") after " + Math.round(loop.nowMs() - lease.sinceMs()) + " ms;" + active.history(loop.nowMs()));
     }
 
+    /** What a cut read may have left has no lease, and waits for the end of the attempts that followed. */
+    private void tellLate(ActiveRequest active, long engine) {
+        double sinceCutMs = loop.nowMs() - active.cutReadsMs.getOrDefault(engine, loop.nowMs());
+        if (sinceCutMs <= termMs || !admitsLine()) return;
+        log.accept("release of " + active.request.id() + " at " + Long.toHexString(engine) + " first sent "
+                + Math.round(sinceCutMs) + " ms after its read was cut;" + active.history(loop.nowMs()));
+    }
+
     private boolean admitsLine() {
         limit.leftOut(); // the counters tell how many there were
         return limit.admits();
