Call off a read in time for a release where its answer may be lost, beyond the retry ration

What is rationed is a guard against storms; a rule may not depend on it.

Not at a reader that answered under three times of late or is cold, nor while reads wait everywhere or admission refuses: there a wait is no sign of a loss, and the ration holds as before. With no attempt left for another read the request ends (READ_UNANSWERED). Where copies are allowed, overdue sends one.

KeyedRepeatTest.aReadThatIsOutAtTheEndOfTheWindowIsGivenUp- AtOnce plays one of a hundred nodes now, as any other would call its silent read off before; its checks are unchanged.

--- a/src/main/java/maplerail/Logic.java
+++ b/src/main/java/maplerail/Logic.java
@@ -13,7 +13,12 @@
 import java.util.function.Function;
 import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
+import maplerail.policy.AnswerRates;
 import maplerail.policy.ArrivalCounts;
+import maplerail.policy.Bounds;
+import maplerail.policy.CellShares;
+import maplerail.policy.CircuitBreaker;
+import maplerail.policy.DeficitCounters;
 import maplerail.policy.EngineClock;
 import maplerail.policy.PrefixTable;
 import maplerail.policy.PriorAttempt;
@@ -22,6 +27,7 @@
 import maplerail.policy.RecentMean;
 import maplerail.policy.Rendezvous;
 import maplerail.policy.RequestState;
+import maplerail.policy.RetryBudget;
 import maplerail.policy.StateLease;
 import maplerail.policy.TenantShares;
 
@@ -34,7 +40,6 @@
  */
 public final class Logic implements Router {
 
-    private static final double QUANTUM = 40_000; // tokens; what every counter of a client grows by (design)
     private static final double OUTPUT_WEIGHT = 2, OUTPUT_SHARE = 0.5; // in the deficit; of the maximum
     private static final double ENTRY_AGE = 20_000; // ms that a locality entry is believed (design)
     private static final double KEPT_SHARE = 0.5; // an entry drops when an answer finds less kept (design)
@@ -43,7 +48,6 @@
     private static final double HOME_SPREAD = 2, HOME_PRIOR = 8; // homes a reader's worth; arrivals assumed
     private static final double FAR_CELL = 0.04, FAR_ZONE = 0.08; // share of memory that a move out counts as
     private static final double WAIT_SHARE = 0.3; // of memory, for a wait as long as the aim: streams unseen
-    private static final double MOST_TOLD = 1e7; // tokens or ms; nothing told is held to be longer
     private static final double SAMPLES = 5, MEMORY_MS = 20_000; // a recent mean goes back so many, so long
     private static final double SILENCE = 0.6; // of a failure, for an answer that is overdue
     private static final double FAIL_LIMIT = 0.35; // failure rate of an outlier
@@ -54,11 +58,8 @@
     private static final double ENOUGH = 3, SOME = 0.3; // samples to judge an engine; to count among peers
     private static final double REMARKABLE = 1.5; // relative pace that counts with fewer samples
     private static final double EJECT_SHARE = 0.5; // most of a role that may be ejected
-    private static final double EJECT_MS = 1_000, EJECT_MAX_MS = 8_000; // first, longest; each one doubles
-    private static final int HALF_OPEN_STEPS = 4; // good outcomes that close; each doubles what may be out
     private static final double FULL_MS = 150; // for which an engine that was full is passed over
     private static final double OVERDUE = 3, OVERDUE_SHARE = 0.4; // times the expected; least share of an aim
-    private static final double RETRY_SHARE = 0.2, RETRY_BURST = 10; // retries for each arrival; saved up
     private static final double BEHIND = 0.25; // of an aim, for the waits of a role: then no copies
     private static final double CALM_DRIFT = 1.01; // growth, each read, of the pace held to be free of queues
     private static final double WAIT_MS = 2_000, POOL_MS = 8_000; // in which a wait of one, of all, fades
@@ -73,7 +74,7 @@
 
     /** What a timer is for; its place is the low part of the token. */
     private enum TimerKind {
-        DEADLINE, RESELECT, LEASE, OVERDUE, ASK, WINDOW
+        DEADLINE, RESELECT, LEASE, OVERDUE, ASK, WINDOW, DOUBT
     }
 
     /** What is usual in a role, for one step: medians, our answers by engine, and a cold one's part. */
@@ -86,8 +87,7 @@
         Member member;
         Role role;
         boolean ready;
-        /** Tokens that each client has used of what D2LPM granted it here. */
-        final Map<Integer, Double> used = new TreeMap<>();
+        final DeficitCounters.OfReader counters = deficits.newReader();
         /** Own reads out, in uncached tokens, and attempts out, oldest first. */
         double queued;
         final List<Attempt> out = new ArrayList<>();
@@ -103,10 +103,9 @@
         double heardMs, fullUntil;
         /** When the last of those that were answered was sent: what was sent before has been overtaken. */
         double answeredSentMs = Double.NEGATIVE_INFINITY;
-        /** Outlier detection: closed, or ejected until a time and then half-open. */
-        boolean ejected, failedLast;
-        double ejectedUntil;
-        int ejections, goodTrials;
+        /** Outlier detection: an engine is ejected while this is open. */
+        final CircuitBreaker breaker = new CircuitBreaker();
+        boolean failedLast;
         /** The bucket of sends while cold. */
         double coldBucket, coldAt;
 
@@ -146,6 +145,12 @@
             this.target = engine.target();
         }
 
+        /** When a read is no longer waited for: its reader, in turn, may hold a state since last heard. */
+        double doubtedMs() {
+            double sinceMs = Math.max(sentMs, engine.heardMs);
+            return Math.max(sentMs + expectedPatience(this), sinceMs + settings.rules().pinLimitMs());
+        }
+
         /** As the rules see it. */
         PriorAttempt prior() {
             return new PriorAttempt(target, sentMs, outcome);
@@ -203,16 +208,15 @@
     /** Arrivals of late with each beginning; key 0 stands for all. */
     private final ArrivalCounts arrivals = new ArrivalCounts(ENTRY_AGE);
     private final Map<Role, RoleStats> usual = new TreeMap<>();
-    /** Of each role, answers a millisecond and when that was so; it fades. */
-    private final Map<Role, double[]> answers = new TreeMap<>();
+    /** Reads that ended well and first tokens. */
+    private final AnswerRates answers = new AnswerRates(RATE_MS);
     /** Waits for a first token lately, wherever; one as long as the aim for a writer that was full. */
     private final RecentMean firstTokens = new RecentMean(SAMPLES, MEMORY_MS);
     /** The same for reads, beyond what they take at the calm pace: the least lately seen. */
     private final RecentMean reads = new RecentMean(SAMPLES, MEMORY_MS);
     private double calmPace = Double.POSITIVE_INFINITY;
-    /** Tokens that D2LPM has granted each client at every reader. */
-    private final Map<Integer, Double> granted = new TreeMap<>();
-    private double retryTokens = 1;
+    private final DeficitCounters deficits = new DeficitCounters();
+    private final RetryBudget retries = new RetryBudget();
     private final TenantShares shares;
     private boolean askPending;
     private double shutToldMs = Double.NEGATIVE_INFINITY;
@@ -275,16 +279,8 @@
         }
     }
 
-    /** A length or time that can't be: 0 in place of NaN and less, and at most a bound. */
-    private static double clamp(double value) {
-        return value > 0 ? Math.min(value, MOST_TOLD) : 0;
-    }
-
     private void onArrival(Arrival told) {
-        // Absurd figures must not poison a deficit or an estimate that outlives the request.
-        Arrival arrival = new Arrival(told.id(), told.kind(), told.tenant(), told.session(),
-                clamp(told.promptTokens()), told.prefix(), clamp(told.prefixTokens()), clamp(told.budgetMs()),
-                clamp(told.maxOutput()), clamp(told.hintMs()), told.resumed());
+        Arrival arrival = Bounds.clamp(told);
         int classes = settings.classes().size();
         if (arrival.kind() >= classes) {
             actions.add(new Refuse(arrival.id(), 0, EndReason.UNKNOWN_CLASS));
@@ -301,9 +297,7 @@
         }
         arrivals.add(0, now);
         if (arrival.prefix() != 0) arrivals.add(arrival.prefix(), now);
-        // A fleet of nodes that each see little must not have saved up more retries than its arrivals allow.
-        double burst = Math.min(RETRY_BURST, Math.max(1, RETRY_SHARE * arrivals.of(0, now)));
-        retryTokens = Math.min(burst, retryTokens + RETRY_SHARE);
+        retries.onArrival(arrivals.of(0, now));
         setTimer(arrival.id(), 0, TimerKind.DEADLINE, lastMoment(request));
         if (overloaded(request)) giveUp(request, EndReason.OVERLOAD);
         else read(request, null);
@@ -319,7 +313,7 @@
         attempt.begun = true;
         if (request.phase != Phase.DONE) request.phase = Phase.STREAMING;
         observePace(attempt, first.spentMs());
-        firstTokens.add(Math.min(clamp(first.spentMs()), request.kind.aimMs()), now);
+        firstTokens.add(Math.min(Bounds.clamp(first.spentMs()), request.kind.aimMs()), now);
         good(attempt.engine);
         request.attempts.stream().filter(a -> a != attempt).forEach(this::cancel);
     }
@@ -362,6 +356,7 @@
         if (alarm == TimerKind.RESELECT) reselect(request);
         if (alarm == TimerKind.LEASE) leaseEnds(request, (int) (token >>> 4 & 255));
         if (alarm == TimerKind.OVERDUE) overdue(request, (int) (token >>> 4 & 255));
+        if (alarm == TimerKind.DOUBT) doubtRead(request, (int) (token >>> 4 & 255));
         // A read that is out then has no writer any more to which its state may go.
         boolean reading = request.phase == Phase.READING;
         if (alarm == TimerKind.WINDOW && reading) giveUp(request, EndReason.MAY_HAVE_RUN);
@@ -387,7 +382,7 @@
         if (reader == null) return;
         double matched = matchedTokens(request, reader);
         double uncached = Math.max(0, request.asked.promptTokens() - matched);
-        charge(reader, request.client, request.asked.promptTokens());
+        reader.counters.charge(request.client, request.asked.promptTokens());
         if (send(request, reader, true, uncached, matched)) learn(request, reader);
     }
 
@@ -404,23 +399,12 @@
 
     /** SelectWorker of the paper's Algorithm 2. */
     private Engine d2lpm(Request request, List<Engine> able, List<Engine> matched) {
-        int client = request.client;
-        double most = able.stream().mapToDouble(e -> credit(e, client)).max().orElse(0);
-        if (most <= 0) granted.merge(client, QUANTUM * (Math.floor(-most / QUANTUM) + 1), Double::sum);
+        double most = able.stream().mapToDouble(e -> e.counters.credit(request.client)).max().orElse(0);
+        deficits.growIfSpent(request.client, most);
         Engine held = leastQueued(matched, request);
         return held != null ? held : leastQueued(able, request);
     }
 
-    /** What a client has left at a reader; one not used yet, as a newcomer, has a quantum at most. */
-    private double credit(Engine engine, int client) {
-        double all = granted.getOrDefault(client, 0.0);
-        return all - engine.used.getOrDefault(client, Math.max(0, all - QUANTUM));
-    }
-
-    private void charge(Engine engine, int client, double tokens) {
-        engine.used.put(client, granted.getOrDefault(client, 0.0) - credit(engine, client) + tokens);
-    }
-
     /**
      * Exception to D2LPM: a matched reader that is expected to use up the aim gives way to the least queued
      * one if that is expected to take under half as long. Guards against a hot beginning, a slow holder and
@@ -451,7 +435,7 @@
 
     /** By own reads queued, in uncached tokens, by the speed seen; equals by the session's hash. */
     private Engine leastQueued(List<Engine> among, Request request) {
-        return least(among.stream().filter(e -> credit(e, request.client) > 0).toList(),
+        return least(among.stream().filter(e -> e.counters.credit(request.client) > 0).toList(),
                 e -> (e.queued + READ_OVERHEAD) * relativePace(e), request.session);
     }
 
@@ -521,26 +505,11 @@
                 + WAIT_SHARE * waitMs(e) / request.kind.aimMs(), random.nextLong());
     }
 
-    /**
-     * The cell that counts as near: the reader's own, or where that has few writers so often another that all
-     * writers get as much. Guards against nodes that never see them full; harms where cells read unequally.
-     */
     private int nearCell(Engine holder, List<Engine> able) {
         if (holder == null) return -1;
-        List<Engine> readers = peers(holder);
-        int own = holder.member.cell();
-        if (random.nextDouble() * share(own, readers) >= -spare(own, able, readers)) return own;
-        // A race of exponential times: each cell wins as often as its spare share says.
-        return least(able, e -> -Math.log(random.nextDouble()) * share(e.member.cell(), able)
-                / Math.max(0, spare(e.member.cell(), able, readers)), 0).member.cell();
-    }
-
-    private static double spare(int cell, List<Engine> writers, List<Engine> readers) {
-        return share(cell, writers) - share(cell, readers);
-    }
-
-    private static double share(int cell, List<Engine> among) {
-        return among.stream().filter(e -> e.member.cell() == cell).count() / Math.max(1.0, among.size());
+        List<Member> readers = peers(holder).stream().map(e -> e.member).toList();
+        List<Member> writers = able.stream().map(e -> e.member).toList();
+        return new CellShares(readers, writers).nearCell(holder.member.cell(), random);
     }
 
     /** Own streams, each as its prompt and the stand-in for its output, this one, and the last report. */
@@ -563,7 +532,7 @@
         switch (ended.outcome()) {
             case READ -> {
                 // What was really read: other nodes' prompts decide what is kept.
-                double read = Math.max(0, attempt.request.asked.promptTokens() - clamp(ended.kept()));
+                double read = Math.max(0, attempt.request.asked.promptTokens() - Bounds.clamp(ended.kept()));
                 attempt.cost += read - attempt.uncached;
                 observePace(attempt, ended.spentMs());
                 good(engine);
@@ -592,8 +561,8 @@
 
     private void observePace(Attempt attempt, double spentMs) {
         Engine engine = attempt.engine;
-        answers.put(engine.role, new double[] {answerRate(engine.role) + 1 / RATE_MS, now});
-        if (!(spentMs > 0 && spentMs < MOST_TOLD) || !(attempt.cost > 0)) return;
+        answers.add(engine.role, now);
+        if (!(spentMs > 0 && spentMs < Bounds.MOST) || !(attempt.cost > 0)) return;
         engine.answeredSentMs = Math.max(engine.answeredSentMs, attempt.sentMs);
         if (attempt.read) {
             calmPace = Math.min(spentMs / attempt.cost, calmPace * CALM_DRIFT);
@@ -632,7 +601,7 @@
         return usual.computeIfAbsent(engine.role, role -> {
             List<Engine> peers = peers(engine);
             double share = COLD_LOAD * peers.size() / peers.stream().mapToDouble(this::presentCapacity).sum();
-            double rate = answerRate(role) / Math.max(1, peers.size());
+            double rate = answers.perMs(role, now) / Math.max(1, peers.size());
             return new RoleStats(median(peers, e -> e.pace), median(peers, e -> e.typicalMs),
                     median(peers, e -> e.stream), median(peers, e -> e.failures), rate,
                     Math.min(share, COLD_MOST * settings.rules().tipMultiple()));
@@ -651,10 +620,7 @@
         engine.heardMs = now;
         engine.failedLast = false;
         engine.failures.add(0, now);
-        if (engine.ejected && now >= engine.ejectedUntil && ++engine.goodTrials >= HALF_OPEN_STEPS) {
-            engine.ejected = false;
-            engine.ejections = 0;
-        }
+        engine.breaker.onSuccess(now);
     }
 
     private void bad(Engine engine, Attempt attempt) {
@@ -667,14 +633,11 @@
     }
 
     private void eject(Engine engine, String why) {
-        if (engine.ejected && now < engine.ejectedUntil || !engine.ready) return;
+        if (engine.breaker.isOpen(now) || !engine.ready) return;
         List<Engine> peers = peers(engine);
-        if (peers.stream().filter(e -> e.ejected || e == engine).count() > EJECT_SHARE * peers.size()) return;
-        engine.ejected = true;
-        double least = Math.max(EJECT_MS * (1 << Math.min(engine.ejections, 10)), 1 / usual(engine).fairRate);
-        engine.ejectedUntil = now + Math.min(EJECT_MAX_MS, least);
-        engine.ejections++;
-        engine.goodTrials = 0;
+        long ejected = peers.stream().filter(e -> e.breaker.isTripped() || e == engine).count();
+        if (ejected > EJECT_SHARE * peers.size()) return;
+        engine.breaker.open(1 / usual(engine).fairRate, now);
         engine.pace.reweigh(1);
         engine.failures.reweigh(0);
         actions.add(new Log("ejected " + Long.toHexString(engine.id) + ": " + why));
@@ -682,17 +645,15 @@
 
     /** Full: not now. Closed: yes. Ejected: no. Half-open: as many out as its good trials allow. */
     private boolean admits(Engine engine) {
-        return now >= engine.fullUntil && (!engine.ejected
-                || now >= engine.ejectedUntil && engine.out.size() < 1 << engine.goodTrials);
+        return now >= engine.fullUntil && engine.breaker.admits(engine.out.size(), now);
     }
 
     // ---- Guards: every send passes here ----
 
     /** Engines of a role that may be sent to: healthy ones that did not fail the request, if any. */
     private List<Engine> able(Request request, Engine not, Predicate<Engine> role) {
-        List<Engine> able = engines.values().stream()
-                .filter(e -> e.ready && role.test(e) && coldRoom(request, e) && repeatAllowed(request, e))
-                .toList();
+        List<Engine> able = engines.values().stream().filter(repeatAllowed(request))
+                .filter(e -> e.ready && role.test(e) && coldRoom(request, e)).toList();
         // Whether an engine that failed last is well again is found out with work that may be repeated.
         List<Predicate<Engine>> wishes = List.of(e -> e != not, this::admits,
                 e -> request.attempts.stream().noneMatch(a -> a.engine == e && a.silent),
@@ -730,6 +691,8 @@
         if (!read) engine.projected += request.asked.promptTokens() + request.expectedOutput;
         actions.add(new Send(request.asked.id(), engine.id, request.deadlineMs, startByMs));
         setTimer(request.asked.id(), attempt.number, TimerKind.OVERDUE, now + patience(attempt));
+        if (mayLoseItsState(request, engine))
+            setTimer(request.asked.id(), attempt.number, TimerKind.DOUBT, attempt.doubtedMs());
         boolean ends = startByMs < request.deadlineMs;
         if (read && ends) setTimer(request.asked.id(), 0, TimerKind.WINDOW, startByMs);
         if (!read && request.holder != null)
@@ -738,22 +701,23 @@
     }
 
     /** Keyed work that may have run goes only where its repeats are dropped; unsafe work nowhere. */
-    private boolean repeatAllowed(Request request, Engine engine) {
-        return request.attempts.isEmpty()
-                || ProtocolRules.repeat(request.state(), engine.target(), margin(), now) == Reason.ALLOWED;
+    private Predicate<Engine> repeatAllowed(Request request) {
+        if (request.attempts.isEmpty()) return engine -> true;
+        RequestState state = request.state();
+        return engine -> ProtocolRules.repeat(state, engine.target(), margin(), now) == Reason.ALLOWED;
     }
 
     /** Whether another writer in service may be sent what one has, or may have, begun. */
     private boolean mayFollow(Request request, Engine writer) {
         return request.kind.repeat() == Repeat.PURE || engines.values().stream()
-                .anyMatch(e -> e != writer && e.ready && e.role != Role.READ && repeatAllowed(request, e));
+                .filter(repeatAllowed(request)).anyMatch(e -> e != writer && e.ready && e.role != Role.READ);
     }
 
     /** Whether a writer, and a reader if it needs one, are in service to which what may have run may go. */
     private boolean groupServes(Request request) {
         if (repeatUntilMs(request) == Double.POSITIVE_INFINITY) return true;
         List<Engine> group = engines.values().stream()
-                .filter(e -> e.ready && repeatAllowed(request, e)).toList();
+                .filter(repeatAllowed(request)).filter(e -> e.ready).toList();
         return group.stream().anyMatch(e -> e.role != Role.READ)
                 && (request.holder != null || group.stream().anyMatch(this::reads));
     }
@@ -785,22 +749,20 @@
         return engineClock.presentCapacity(engine.startedMs, now);
     }
 
-    /** Answers a millisecond that we got from a role lately, reads that ended well and first tokens. */
-    private double answerRate(Role role) {
-        double[] known = answers.getOrDefault(role, new double[] {0, now});
-        return known[0] * Math.exp((known[1] - now) / RATE_MS);
-    }
-
     /** How long an attempt may be out: some times what its peers take, or what its own engine took lately. */
     private double patience(Attempt attempt) {
+        // A request that was moved on is moved again only after longer.
+        double least = OVERDUE_SHARE * attempt.request.kind.aimMs();
+        return Math.max(least, expectedPatience(attempt)) * (1 << attempt.number / 2);
+    }
+
+    private double expectedPatience(Attempt attempt) {
         double pace = usual(attempt.engine).pace;
         double expected = Math.max(Double.isNaN(pace) ? 0 : pace * attempt.cost, seenMs(attempt.engine));
         // What we only assume to be kept there may have to be read.
         boolean assumed = pace > 0 && attempt.request.homes.contains(attempt.engine);
         double whole = assumed ? pace * attempt.request.asked.promptTokens() : 0;
-        double least = OVERDUE_SHARE * attempt.request.kind.aimMs();
-        // A request that was moved on is moved again only after longer.
-        return Math.max(least, OVERDUE * Math.max(expected, whole / 2)) * (1 << attempt.number / 2);
+        return OVERDUE * Math.max(expected, whole / 2);
     }
 
     /** Silence, or a known outlier: an attempt is out far longer than peers take. Try elsewhere. */
@@ -826,7 +788,7 @@
         // Either may have changed a little later. An answer that is lost comes from no lack of capacity.
         boolean lost = attempt.overtaken();
         boolean behind = pooled(attempt.read ? reads : firstTokens) > BEHIND * request.kind.aimMs();
-        if (!lost && (retryTokens < 1 || behind && unmet(attempt.engine))) {
+        if (!lost && (!retries.allowsRetry() || behind && unmet(attempt.engine))) {
             setTimer(request.asked.id(), number, TimerKind.OVERDUE, againMs);
             return;
         }
@@ -837,12 +799,39 @@
             return;
         }
         if (mute) bad(attempt.engine, attempt);
-        retryTokens = Math.max(0, retryTokens - 1);
+        retries.spend();
         // Guards against a second send of unsafe work while the first is out, a read's included: call it off.
         if (attempt.read && settings.limits().secondCopies() && !unsafe) read(request, attempt.engine);
         else cancel(attempt);
     }
 
+    /** Whether a read has to be doubted in time; where copies are allowed, overdue sends one. */
+    private boolean mayLoseItsState(Request request, Engine engine) {
+        boolean copied = settings.limits().secondCopies() && request.kind.repeat() != Repeat.UNSAFE;
+        return engine.role == Role.READ && !copied;
+    }
+
+    /**
+     * A read may have ended with an answer that was lost, and its state has been held since: it is called off
+     * in time for a release. Not while reads wait everywhere, nor at a reader that we hardly know: then it is
+     * no sign of a loss that one does. The budget of retries may be overdrawn for it.
+     */
+    private void doubtRead(Request request, int number) {
+        Attempt read = number < request.attempts.size() ? request.attempts.get(number) : null;
+        boolean over = request.phase == Phase.DONE || request.phase == Phase.STREAMING;
+        if (over || read == null || read.ended || read.cancelled) return;
+        double dueMs = read.doubtedMs();
+        boolean queue = !familiar(read.engine) || cold(read.engine)
+                || pooled(reads) > BEHIND * request.kind.aimMs() || now - shutToldMs < WAIT_MS;
+        if (now < dueMs || queue || !retries.allowsOverdraft()) {
+            setTimer(request.asked.id(), number, TimerKind.DOUBT, Math.max(dueMs, now + RESELECT_MS));
+            return;
+        }
+        retries.overdraw();
+        if (request.attempts.size() < settings.limits().maxAttempts() - 1) cancel(read);
+        else giveUp(request, EndReason.READ_UNANSWERED);
+    }
+
     private void cancel(Attempt attempt) {
         if (!attempt.ended && !attempt.cancelled && settings.limits().cancel()) {
             attempt.cancelled = true;
@@ -955,7 +944,7 @@
         double queue = Math.max(own, all) + Math.max(median, pooled(firstTokens));
         double limit = Math.min(request.aimMs, lastMoment(request)) - now;
         // A long prompt takes its time without a queue: what it needs itself is no overload.
-        double whole = queue + (calmPace < MOST_TOLD ? calmPace * needed(request, reader) : 0);
+        double whole = queue + (calmPace < Bounds.MOST ? calmPace * needed(request, reader) : 0);
         boolean shut = queue > QUEUED * limit && whole > ADMIT * limit;
         for (RequestClass other : settings.classes()) {
             if (other.worth() > request.worth) limit = Math.min(limit, other.aimMs());
@@ -975,6 +964,11 @@
         return usual(engine).fairRate * WAIT_MS < 1;
     }
 
+    /** Whether we hear of an engine often enough to tell a loss from a queue. */
+    private boolean familiar(Engine engine) {
+        return usual(engine).fairRate * RATE_MS >= ENOUGH;
+    }
+
     private double pooled(RecentMean waits) {
         return waits.faded(POOL_MS, now);
     }
@@ -1039,11 +1033,12 @@
         double tokens = attempt.read ? 0 : request.asked.promptTokens() + request.expectedOutput;
         engine.projected = Math.max(0, engine.projected - tokens);
         if (ended.outcome() != Outcome.SERVED) return;
+        double output = OUTPUT_WEIGHT * request.expectedOutput;
         request.attempts.stream().filter(a -> a.read).reduce((a, b) -> b)
-                .ifPresent(a -> charge(a.engine, request.client, OUTPUT_WEIGHT * request.expectedOutput));
+                .ifPresent(a -> a.engine.counters.charge(request.client, output));
     }
 
-    /** Entries in the tables, for watching that they stay clamp. */
+    /** Entries in the tables, for watching that they stay bounded. */
     int held() {
         return requests.size() + sessions.size() + prefixes.size() + arrivals.size() + engines.size();
     }
--- a/src/main/java/maplerail/Router.java
+++ b/src/main/java/maplerail/Router.java
@@ -117,6 +117,8 @@
         NO_ENGINE,
         /** Its state had waited for as long as a state may be held. */
         STATE_HELD_TOO_LONG,
+        /** Nothing was heard of its read for as long as a state may be held, and no attempt is left to read again. */
+        READ_UNANSWERED,
         /** The module did not say. */
         UNTOLD
     }
--- a/src/test/java/maplerail/KeyedRepeatTest.java
+++ b/src/test/java/maplerail/KeyedRepeatTest.java
@@ -80,9 +80,12 @@
         assertThat(after(node, 2)).allMatch(engine -> engine / 10 == cell);
     }
 
+    /** One of many nodes, which hardly knows its readers: any other would call a silent read off before. */
     @Test
     void aReadThatIsOutAtTheEndOfTheWindowIsGivenUpAtOnce() {
-        Node node = node(Scope.ZONE).start(threeCells());
+        Node node = node(Scope.ZONE);
+        node.routers = 100;
+        node.start(threeCells());
         double firstWriteMs = node.now;
         loseAWrite(node);
         assertThat(node.sends().get(3).startByMs()).isBetween(firstWriteMs + WINDOW_MS - 50, firstWriteMs + WINDOW_MS);
--- /dev/null
+++ b/src/test/java/maplerail/policy/CellSharesTest.java
@@ -0,0 +1,57 @@
+package maplerail.policy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.stream.IntStream;
+import maplerail.Router.Member;
+import maplerail.Router.State;
+import org.junit.jupiter.api.Test;
+
+class CellSharesTest {
+    private static final int DRAWS = 10_000;
+
+    private final SplittableRandom random = new SplittableRandom(1);
+
+    /** Engines of which so many are in cell 0, in cell 1 and so on. */
+    private static List<Member> engines(int... byCell) {
+        List<Member> engines = new ArrayList<>();
+        for (int cell = 0; cell < byCell.length; cell++) {
+            for (int i = 0; i < byCell[cell]; i++)
+                engines.add(new Member(engines.size() + 1, State.READY, 0, 0, cell, 1, 0));
+        }
+        return engines;
+    }
+
+    private double shareOfDraws(CellShares shares, int own, int near) {
+        return IntStream.range(0, DRAWS).filter(i -> shares.nearCell(own, random) == near).count() / (double) DRAWS;
+    }
+
+    @Test
+    void theOwnCellIsNearWhereItHasItsShareOfWriters() {
+        assertThat(shareOfDraws(new CellShares(engines(2, 2), engines(4, 4)), 0, 0)).isEqualTo(1);
+        assertThat(shareOfDraws(new CellShares(engines(1, 3), engines(4, 4)), 0, 0)).isEqualTo(1);
+    }
+
+    @Test
+    void aCellWithoutWritersIsNeverNear() {
+        CellShares shares = new CellShares(engines(2, 2), engines(0, 4));
+        assertThat(shareOfDraws(shares, 0, 1)).isEqualTo(1);
+    }
+
+    @Test
+    void aCellWithFewWritersIsNearAsOftenAsItsWritersCanBear() {
+        // Half the readers and a quarter of the writers: half of its reads are to go elsewhere.
+        CellShares shares = new CellShares(engines(2, 2), engines(2, 6));
+        assertThat(shareOfDraws(shares, 0, 0)).isBetween(0.47, 0.53);
+    }
+
+    @Test
+    void otherCellsAreNearAsOftenAsTheirSpareShareSays() {
+        // Spare shares of 0.1 and 0.3.
+        CellShares shares = new CellShares(engines(4, 3, 3), engines(0, 4, 6));
+        assertThat(shareOfDraws(shares, 0, 1)).isBetween(0.22, 0.28);
+    }
+}
--- /dev/null
+++ b/src/test/java/maplerail/policy/CircuitBreakerTest.java
@@ -0,0 +1,71 @@
+package maplerail.policy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class CircuitBreakerTest {
+    private final CircuitBreaker breaker = new CircuitBreaker();
+
+    @Test
+    void isClosedAtFirstAndAdmitsAnyNumber() {
+        assertThat(breaker.isTripped()).isFalse();
+        assertThat(breaker.isOpen(0)).isFalse();
+        assertThat(breaker.admits(1_000, 0)).isTrue();
+    }
+
+    @Test
+    void admitsNothingWhileItIsOpenAndOneAttemptThen() {
+        breaker.open(0, 100);
+        assertThat(breaker.isOpen(1_099)).isTrue();
+        assertThat(breaker.admits(0, 1_099)).isFalse();
+        assertThat(breaker.isOpen(1_100)).isFalse();
+        assertThat(breaker.isTripped()).isTrue();
+        assertThat(breaker.admits(0, 1_100)).isTrue();
+        assertThat(breaker.admits(1, 1_100)).isFalse();
+    }
+
+    @Test
+    void eachGoodTrialDoublesWhatMayBeOutAndTheFourthCloses() {
+        breaker.open(0, 0);
+        for (int mayBeOut = 1; mayBeOut <= 8; mayBeOut *= 2) {
+            assertThat(breaker.admits(mayBeOut - 1, 1_000)).isTrue();
+            assertThat(breaker.admits(mayBeOut, 1_000)).isFalse();
+            breaker.onSuccess(1_000);
+        }
+        assertThat(breaker.isTripped()).isFalse();
+    }
+
+    @Test
+    void successesOfEarlierAttemptsDoNotCountWhileItIsOpen() {
+        breaker.open(0, 0);
+        for (int i = 0; i < 10; i++) breaker.onSuccess(999);
+        assertThat(breaker.isTripped()).isTrue();
+        assertThat(breaker.admits(1, 1_000)).isFalse();
+    }
+
+    /** How long it stays open at the n-th time in a row, with the least that is asked for. */
+    @ParameterizedTest
+    @CsvSource({"1,0,1000", "2,0,2000", "3,0,4000", "4,0,8000", "40,0,8000", "1,3000,3000", "1,1e9,8000"})
+    void staysOpenTwiceAsLongEachTimeUpToTheLongest(int times, double leastMs, double openMs) {
+        double nowMs = 0;
+        for (int i = 1; i <= times; i++) {
+            nowMs += 10_000;
+            breaker.open(leastMs, nowMs);
+        }
+        assertThat(breaker.isOpen(nowMs + openMs - 1)).isTrue();
+        assertThat(breaker.isOpen(nowMs + openMs)).isFalse();
+    }
+
+    @Test
+    void beginsAgainWithTheFirstTimeOnceItHasClosed() {
+        breaker.open(0, 0);
+        breaker.open(0, 1_000);
+        for (int i = 0; i < 4; i++) breaker.onSuccess(10_000);
+        breaker.open(0, 20_000);
+        assertThat(breaker.isOpen(20_999)).isTrue();
+        assertThat(breaker.isOpen(21_000)).isFalse();
+    }
+}
