Take what a reader kept as untold where the body of its 202 does not come

A read that was taken for ended without its body told that nothing was kept, so that the table of prefixes dropped what is there. It is NaN now, which leaves the table and the pace as they were expected. A read that may not be called off yet is looked at again after 100 ms and not after 25, as a busy gateway has many of them.

--- a/src/main/java/maplerail/Logic.java
+++ b/src/main/java/maplerail/Logic.java
@@ -65,6 +65,7 @@
     private static final double WAIT_MS = 2_000, POOL_MS = 8_000; // in which a wait of one, of all, fades
     private static final double ADMIT = 0.7, QUEUED = 0.2; // of an aim, for a first token; for queues alone
     private static final double RESELECT_MS = 25; // between two choices for a request that no engine can take
+    private static final double DOUBT_AGAIN_MS = 100; // between two looks at a read that is waited for on
     private static final double MARGIN_TICKS = 3, MARGIN_MS = 4; // that a timer is set before its limit
     private static final double COLD_LOAD = 1.2, COLD_MOST = 0.8, RATE_MS = 10_000; // of a share; of the most
     private static final double SHUT_LOG_MS = 500; // between two lines on why admission is shut
@@ -532,11 +533,12 @@
         switch (ended.outcome()) {
             case READ -> {
                 // What was really read: other nodes' prompts decide what is kept.
-                double read = Math.max(0, attempt.request.asked.promptTokens() - Bounds.clamp(ended.kept()));
+                double kept = Double.isNaN(ended.kept()) ? attempt.matched : Bounds.clamp(ended.kept());
+                double read = Math.max(0, attempt.request.asked.promptTokens() - kept);
                 attempt.cost += read - attempt.uncached;
                 observePace(attempt, ended.spentMs());
                 good(engine);
-                if (ended.kept() < KEPT_SHARE * attempt.matched) {
+                if (kept < KEPT_SHARE * attempt.matched) {
                     // A cache that was flushed or is too small: what else we think is there is doubtful too.
                     drop(attempt.request, engine);
                     learn(attempt.request, engine);
@@ -824,7 +826,7 @@
         boolean queue = !familiar(read.engine) || cold(read.engine)
                 || pooled(reads) > BEHIND * request.kind.aimMs() || now - shutToldMs < WAIT_MS;
         if (now < dueMs || queue || !retries.allowsOverdraft()) {
-            setTimer(request.asked.id(), number, TimerKind.DOUBT, Math.max(dueMs, now + RESELECT_MS));
+            setTimer(request.asked.id(), number, TimerKind.DOUBT, Math.max(dueMs, now + DOUBT_AGAIN_MS));
             return;
         }
         retries.overdraw();
--- a/src/main/java/maplerail/Router.java
+++ b/src/main/java/maplerail/Router.java
@@ -68,7 +68,7 @@
     /** A stream has begun. */
     record FirstToken(long id, int attempt, long engine, double spentMs) implements Event {}
 
-    /** An attempt is over; {@code kept} is the part of the prompt that needed no reading. */
+    /** An attempt is over; {@code kept} is the part of the prompt that needed no reading, NaN if it is not told. */
     record Ended(long id, int attempt, long engine, Outcome outcome, double spentMs, double kept, boolean closed,
             Load load) implements Event {}
 
--- a/src/main/java/maplerail/core/Engines.java
+++ b/src/main/java/maplerail/core/Engines.java
@@ -51,7 +51,7 @@
         /** The end: the engine says that the request itself is wrong. Another would say so too. */
         void unfit();
 
-        /** The end; {@code kept} is the part of the prompt that needed no reading. */
+        /** The end; {@code kept} is the part of the prompt that needed no reading, NaN if it is not told. */
         void ended(Router.Outcome outcome, double kept);
     }
 }
--- a/src/main/java/maplerail/net/EngineClient.java
+++ b/src/main/java/maplerail/net/EngineClient.java
@@ -90,12 +90,12 @@
         private void endWithoutBody() {
             if (over) return;
             call.abort();
-            finish(Outcome.READ);
+            finish(Outcome.READ, Double.NaN);
         }
 
-        private void finish(Outcome outcome) {
+        private void finish(Outcome outcome, double kept) {
             over = true;
-            answer.ended(outcome, kept());
+            answer.ended(outcome, kept);
         }
 
         @Override
@@ -115,7 +115,7 @@
                 return;
             }
             if (meaning == Outcome.SERVED && framed && events.rest().length > 0) answer.event(events.rest());
-            finish(meaning == Outcome.SERVED && !framed ? Outcome.RESET : meaning);
+            finish(meaning == Outcome.SERVED && !framed ? Outcome.RESET : meaning, kept());
         }
 
         private double kept() {
@@ -129,7 +129,7 @@
 
         @Override
         public void failed(Failure failure) {
-            finish(Outcomes.broken(meaning, failure));
+            finish(Outcomes.broken(meaning, failure), 0);
         }
     }
 
