--- a/src/main/java/maplerail/net/EngineClient.java
+++ b/src/main/java/maplerail/net/EngineClient.java
@@ -136,7 +136,7 @@
     @Override
     public void release(long engine, String id, double untilMs, Consumer<ReleaseResult> ended) {
         InetSocketAddress to = addresses.get(engine);
-        if (to != null) new ReleaseCall(pool, to, addresses::values, id, untilMs, ended).start();
+        if (to != null) new ReleaseCall(pool, to, id, untilMs, ended).start();
         else ended.accept(new ReleaseResult(false, 0, 0));
     }
 }
--- a/src/main/java/maplerail/net/Pool.java
+++ b/src/main/java/maplerail/net/Pool.java
@@ -6,7 +6,6 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
-import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -15,7 +14,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
-import java.util.function.Function;
 import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -89,22 +87,6 @@
         return start(to, call);
     }
 
-    /**
-     * The same on a kept connection to whichever of some addresses was used last; does nothing and returns null if there
-     * is none.
-     */
-    Call startOnKept(Collection<InetSocketAddress> among, Function<InetSocketAddress, ClientRequest> request,
-            Reply reply) {
-        InetSocketAddress to = among.stream().filter(one -> idle.containsKey(one) && !idle.get(one).isEmpty())
-                .max(Comparator.comparingDouble(one -> idle.get(one).peekLast().idleSinceMs)).orElse(null);
-        Link link = to == null ? null : fresh(to);
-        if (link == null) return null;
-        ClientRequest made = request.apply(to);
-        Call call = new Call(this, () -> made, new byte[0], () -> true, reply, true);
-        call.on(link);
-        return call;
-    }
-
     /**
      * Starts a request whose head is made only once there is a connection for it. If it has to wait for one, it asks
      * before its first byte whether it may still begin; who says no gives the call up.
--- a/src/main/java/maplerail/net/ReleaseCall.java
+++ b/src/main/java/maplerail/net/ReleaseCall.java
@@ -5,53 +5,41 @@
 import io.undertow.util.Methods;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
-import java.util.Collection;
 import java.util.LinkedHashSet;
-import java.util.List;
 import java.util.Set;
 import java.util.function.Consumer;
-import java.util.function.Supplier;
 import maplerail.core.Engines.ReleaseResult;
 import maplerail.core.Loop;
 
 /**
  * One release, which may be made any number of times. The time in which it has to arrive runs while a kept connection is
  * silent and while a new one does not come up, so a try that is not answered soon is followed by one on a further new
- * connection while it is still out; the first answer ends them all. As every engine takes a release of all that is held
- * for a request, wherever it is held, a further try goes to another engine, too: the holder may be out of our reach alone.
+ * connection while it is still out; the first answer ends them all.
  */
 final class ReleaseCall {
     private static final double FIRST_HEDGE_MS = 60; // after the first try; several times what an answer takes
     private static final double HEDGE_GROWTH = 2; // of that time with each further try
-    /** Between two tries: a state may come up right behind one, and is to be let go by the next. */
-    private static final double MOST_HEDGE_MS = 480;
     private static final double AGAIN_MS = 30; // after a try that failed while no other is out
     private static final int MOST_OUT = 3;
 
     private final Pool pool;
     private final Loop loop;
     private final InetSocketAddress to;
-    private final Supplier<Collection<InetSocketAddress>> others;
     private final String target;
     private final double untilMs;
     private final Consumer<ReleaseResult> ended;
     private final double startMs;
     /** Oldest first. */
     private final Set<Call> out = new LinkedHashSet<>();
-    /** The one that is out at another engine. */
-    private Call elsewhere;
     private Loop.Alarm next;
     private double hedgeMs = FIRST_HEDGE_MS;
     private int tries;
     private boolean done;
 
-    /** Makes a release at an engine; {@code others} are all engines, any of which takes it as well. */
-    ReleaseCall(Pool pool, InetSocketAddress to, Supplier<Collection<InetSocketAddress>> others, String id,
-            double untilMs, Consumer<ReleaseResult> ended) {
+    ReleaseCall(Pool pool, InetSocketAddress to, String id, double untilMs, Consumer<ReleaseResult> ended) {
         this.pool = pool;
         this.loop = pool.loop();
         this.to = to;
-        this.others = others;
         this.target = "/internal/reservations/" + id;
         this.untilMs = untilMs;
         this.ended = ended;
@@ -71,10 +59,9 @@
         }
         // The oldest has had its time: a connection that fell silent, as in a cut that is over by now, stays so.
         if (out.size() >= MOST_OUT) giveUpOldest();
-        if (tries > 0) sendElsewhere();
         send();
         next = loop.at(loop.nowMs() + hedgeMs, this::attempt);
-        hedgeMs = Math.min(HEDGE_GROWTH * hedgeMs, MOST_HEDGE_MS);
+        hedgeMs *= HEDGE_GROWTH;
     }
 
     private void send() {
@@ -86,14 +73,6 @@
         out.add(reply.call);
     }
 
-    private void sendElsewhere() {
-        if (elsewhere != null) elsewhere.abort();
-        Try reply = new Try();
-        List<InetSocketAddress> among = others.get().stream().filter(other -> !other.equals(to)).toList();
-        reply.call = pool.startOnKept(among, other -> Requests.to(other, Methods.DELETE, target), reply);
-        elsewhere = reply.call;
-    }
-
     private void giveUpOldest() {
         Call oldest = out.iterator().next();
         out.remove(oldest);
@@ -101,8 +80,7 @@
     }
 
     private void failed(Call call) {
-        if (call == elsewhere) elsewhere = null;
-        else out.remove(call);
+        out.remove(call);
         if (done || !out.isEmpty()) return;
         next.cancel();
         next = loop.at(loop.nowMs() + AGAIN_MS, this::attempt);
@@ -111,8 +89,7 @@
     /** An answer has begun: it stays to be read to its end, so that its connection can be kept. */
     private void answered(Call call) {
         if (done) return;
-        if (call == elsewhere) elsewhere = null;
-        else out.remove(call);
+        out.remove(call);
         finish(true);
     }
 
@@ -121,7 +98,6 @@
         next.cancel();
         Set.copyOf(out).forEach(Call::abort);
         out.clear();
-        if (elsewhere != null) elsewhere.abort();
         ended.accept(new ReleaseResult(answered, tries, loop.nowMs() - startMs));
     }
 
