--- a/src/main/java/maplerail/cli/Gateway.java
+++ b/src/main/java/maplerail/cli/Gateway.java
@@ -190,7 +190,7 @@
         through.accept(listener);
         AcceptingChannel<?> listening = worker.createStreamConnectionServer(at,
                 ChannelListeners.openListenerAdapter(listener),
-                OptionMap.builder().set(Options.BACKLOG, ClientListener.BACKLOG).set(Options.TCP_NODELAY, true)
+                OptionMap.builder().set(Options.BACKLOG, 1_024).set(Options.TCP_NODELAY, true)
                         .set(Options.CONNECTION_HIGH_WATER, most).set(Options.CONNECTION_LOW_WATER, most - 1).getMap());
         listening.resumeAccepts();
         loop.execute(() -> AcceptBackOff.limit(loop, listening, listener::acceptFailed));
--- a/src/main/java/maplerail/front/ClientListener.java
+++ b/src/main/java/maplerail/front/ClientListener.java
@@ -31,8 +31,6 @@
  * against clients that hold a descriptor for nothing: without one no other client and no engine can be reached.
  */
 public final class ClientListener implements ChannelListener<StreamConnection> {
-    /** Connections that the system keeps until they are accepted. */
-    public static final int BACKLOG = 1_024;
     private static final Logger LOG = LoggerFactory.getLogger(ClientListener.class);
     /** From the connection's start, or its request's first byte, until the request must be whole. */
     private static final double ARRIVE_MS = 2_500;
@@ -68,7 +66,7 @@
     /** When accept last failed, and since when it had. */
     private double acceptFailedMs = Double.NEGATIVE_INFINITY;
     private double acceptFailingSinceMs;
-    private final ConnectionBurst burst = new ConnectionBurst(BACKLOG);
+    private final ConnectionBurst burst = new ConnectionBurst();
 
     private static final class Tracked {
         State state = State.SILENT;
@@ -122,7 +120,6 @@
         StreamSourceConduit source = connection.getSourceChannel().getConduit();
         connection.getSourceChannel().setConduit(
                 new ArrivalConduit(source, loop, client.arrivals, connectedSinceMs(), () -> came(client)));
-        if (full()) burst.full(loop.nowMs());
         if (!looking) loop.at(loop.nowMs() + LOOK_MS, this::look);
         looking = true;
         next.handleEvent(connection);
@@ -216,7 +213,6 @@
 
     private void look() {
         double now = loop.nowMs();
-        if (full()) burst.full(now);
         tracked.keySet().removeIf(connection -> !connection.isOpen());
         Map<StreamConnection, Closed> ended = new LinkedHashMap<>();
         tracked.forEach((connection, client) -> {
@@ -284,11 +280,6 @@
         IoUtils.safeClose(connection);
     }
 
-    /** True while no place, or hardly one, is left. */
-    private boolean full() {
-        return tracked.size() >= most - most / FULL_PART;
-    }
-
     /**
      * While room is short, ends those that say nothing, then those that are idle. With no place left, as many as there
      * are that say nothing or stopped within a request: behind them requests may wait in the system's queue, and their
@@ -297,7 +288,7 @@
     private void makeRoom(double now) {
         int over = tracked.size() - (most - most / ROOM_PART);
         if (over <= 0) return;
-        boolean full = full();
+        boolean full = tracked.size() >= most - most / FULL_PART;
         int ended = full ? end(State.SILENT, FULL_SILENT_MS, tracked.size(), now)
                 : end(State.SILENT, SILENT_MS, over, now);
         if (full) ended += end(State.ARRIVING, FULL_STALLED_MS, tracked.size(), now);
