Send the releases of a cut read one after the other, and only for as long as it can go on

A read that began right before the end of the told time had no release after it, and a reader was forgotten at its first release, so that a request which went on after that was given none at its end.

Cause: the window had no bound of its own and was planned ahead; it ended when a read may begin, not when it may end; `mayHold` was cleared though the read may go on.

Change: each release plans the next; the window is the told time, 5 s after the cut at most, and 1.6 s for a read that has begun by then; one chain for each reader; a reader stays known while its cut read may end.

--- a/src/main/java/maplerail/core/ActiveRequest.java
+++ b/src/main/java/maplerail/core/ActiveRequest.java
@@ -14,8 +14,10 @@
 
 /** A request that is open: its attempts, its answer and what engines may hold for it. */
 final class ActiveRequest {
-    /** After a cut, for which a reader may read on at the least, however soon the time ends that it was told. */
-    private static final double LEAST_READ_ON_MS = 1_600;
+    /** For which a read may go on that its reader has begun. */
+    private static final double READ_MS = 1_600;
+    /** After a cut, for which a read may wait in its reader's queue; few deadlines are as long. */
+    private static final double MOST_QUEUED_MS = 5_000;
 
     final long number;
     final ServiceRequest request;
@@ -31,6 +33,8 @@
     boolean answered;
     /** When a read was last cut off or broke at an engine, which may read on and hold a state in the end. */
     final Map<Long, Double> cutReadsMs = new LinkedHashMap<>();
+    /** Engines at which what a cut read leaves is let go again and again. */
+    final Set<Long> repeating = new LinkedHashSet<>();
     /** The attempt whose events the caller gets. */
     Attempt winner;
     Loop.Alarm guard;
@@ -59,7 +63,8 @@
      */
     double cutReadMayEndUntilMs(long engine) {
         Double cutMs = cutReadsMs.get(engine);
-        return cutMs == null ? Double.NEGATIVE_INFINITY : Math.max(cutMs + LEAST_READ_ON_MS, deadlineMs);
+        if (cutMs == null) return Double.NEGATIVE_INFINITY;
+        return Math.max(cutMs, Math.min(deadlineMs, cutMs + MOST_QUEUED_MS)) + READ_MS;
     }
 
     /** True while an attempt is out whose answer has begun to come. */
--- a/src/main/java/maplerail/core/HeldStates.java
+++ b/src/main/java/maplerail/core/HeldStates.java
@@ -127,7 +127,7 @@
     private void letGo(ActiveRequest active, long engine, Reason reason) {
         StateLease lease = active.holds.remove(engine);
         if (active.anyOut()) active.reclaimed.add(engine);
-        else active.mayHold.remove(engine);
+        else if (loop.nowMs() > active.cutReadMayEndUntilMs(engine)) active.mayHold.remove(engine);
         counters.count(reason);
         if (lease != null) check(active, engine, lease);
         if (lease != null && reason != Reason.NO_LONGER_NEEDED) tell(active, engine, reason, lease);
@@ -186,18 +186,26 @@
      * ends long after the cut.
      */
     private void repeat(ActiveRequest active, long engine) {
-        double lastMs = active.cutReadMayEndUntilMs(engine) + REPEAT_TERMS * termMs;
-        for (double at = loop.nowMs() + FIRST_REPEAT_MS; at <= lastMs; at += REPEAT_TERMS * termMs) {
-            repeatsToCome++;
-            loop.at(at, () -> {
-                repeatsToCome--;
-                // A release lets go of all that is held for the request, also of what another reader has for it.
-                boolean inUse = active.anyOut() || !active.holds.isEmpty();
-                if (!active.answered && inUse) return;
+        if (!active.repeating.add(engine)) return;
+        repeatsToCome++;
+        repeatAt(active, engine, loop.nowMs() + FIRST_REPEAT_MS);
+    }
+
+    private void repeatAt(ActiveRequest active, long engine, double atMs) {
+        if (atMs > active.cutReadMayEndUntilMs(engine) + REPEAT_TERMS * termMs) {
+            active.repeating.remove(engine);
+            repeatsToCome--;
+            return;
+        }
+        loop.at(atMs, () -> {
+            // A release lets go of all that is held for the request, also of what another reader has for it.
+            boolean inUse = !active.answered && (active.anyOut() || !active.holds.isEmpty());
+            if (!inUse) {
                 counters.count(Reason.LEFT_BY_CUT_READ);
                 send(active, engine, loop.nowMs() + termMs);
-            });
-        }
+            }
+            repeatAt(active, engine, loop.nowMs() + REPEAT_TERMS * termMs);
+        });
     }
 
     /** Releases what is held for a request that has been answered while an attempt is out; tells once one is answered. */
--- a/src/test/java/maplerail/LostReadDoubtTest.java
+++ b/src/test/java/maplerail/LostReadDoubtTest.java
@@ -103,4 +103,26 @@
         node.until(node.now + PIN_LIMIT_MS + 50);
         assertThat(node.all).doesNotContain(new Cancel(100, 0));
     }
+
+    /**
+     * A reader takes prompts in turn: once a later one is answered there, this one has ended and its answer is lost. What
+     * the reader answers to others from then on puts nothing off.
+     */
+    @Test
+    void aReadThatWasOvertakenIsCalledOffThoughItsReaderGoesOnAnsweringOthers() {
+        Node node = new Node();
+        node.copies = false;
+        node.start(reader(1), writer(11), writer(12));
+        for (long id = 1; id <= WARM; id++, node.now += 50) serve(node, id, READ_MS);
+        node.on(new Router.Arrival(100, 1, 0, 7, 1_000, 0, 0, 12_000, 200, 0, false));
+        double heldSinceMs = node.now + READ_MS;
+        for (long id = 101; node.now < heldSinceMs + 2 * PIN_LIMIT_MS; id++) {
+            node.arrive(id, id, 0, 1_000, DEADLINE_MS);
+            node.until(node.now + READ_MS);
+            node.end(id, 0, Outcome.READ, READ_MS, 0, false);
+            node.first(id, 1);
+            node.end(id, 1, Outcome.SERVED);
+        }
+        assertThat(node.all).as("within the limit and the 300 ms of the rules on sockets").contains(new Cancel(100, 0));
+    }
 }
--- /dev/null
+++ b/src/test/java/maplerail/cli/ReleaseElsewhereIT.java
@@ -0,0 +1,102 @@
+package maplerail.cli;
+
+import static maplerail.support.SilentReader.id;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import maplerail.support.GatewayProgram;
+import maplerail.support.StandIn;
+import maplerail.support.World;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/**
+ * A release lets go of all that is held for its request, at whichever engine. Tries of one that its reader does not
+ * answer must not take what the request goes on with at another reader.
+ */
+class ReleaseElsewhereIT {
+    private static final int WARM_REQUESTS = 10;
+    private static final int READ_MS = 250;
+
+    @TempDir
+    Path folder;
+
+    /** Since when and until when the second read of a request is out, and when any engine was told to let go of it. */
+    private final Set<String> readOnce = ConcurrentHashMap.newKeySet();
+    private final Set<String> declinedOnce = ConcurrentHashMap.newKeySet();
+    private final Set<String> inUse = ConcurrentHashMap.newKeySet();
+    private final List<String> released = Collections.synchronizedList(new ArrayList<>());
+
+    private void release(StandIn.Exchange exchange) throws Exception {
+        String id = exchange.target.replaceFirst(".*/", "");
+        if (inUse.contains(id)) released.add(id);
+        exchange.reply(204, "");
+    }
+
+    /** Reads; the one that has read a1 first answers nothing more about it. */
+    private StandIn reader() throws Exception {
+        Set<String> mine = ConcurrentHashMap.newKeySet();
+        return new StandIn(exchange -> {
+            if (exchange.method.equals("DELETE")) {
+                if (mine.contains(exchange.target.replaceFirst(".*/", ""))) exchange.awaitEnd();
+                else release(exchange);
+                return;
+            }
+            String id = id(exchange);
+            if (id.startsWith("warm")) {
+                exchange.reply(202, "{\"cached_tokens\":0}");
+            } else if (readOnce.add(id)) {
+                mine.add(id);
+                exchange.reply(202, "{\"cached_tokens\":0}");
+            } else {
+                inUse.add(id);
+                TimeUnit.MILLISECONDS.sleep(READ_MS);
+                exchange.reply(202, "{\"cached_tokens\":0}");
+            }
+        });
+    }
+
+    private StandIn writer() throws Exception {
+        return new StandIn(exchange -> {
+            if (exchange.method.equals("DELETE")) {
+                release(exchange);
+                return;
+            }
+            // The first reader is out of its reach, too.
+            if (!id(exchange).startsWith("warm") && declinedOnce.add(id(exchange))) {
+                exchange.reply(410, "", "Srv-Declined: 1");
+                return;
+            }
+            inUse.remove(id(exchange));
+            exchange.stream();
+            exchange.chunk("data: [DONE]\n\n");
+            exchange.last();
+        });
+    }
+
+    @Test
+    void aReleaseThatIsNotAnsweredTakesNothingOfTheReadThatFollows() throws Exception {
+        try (StandIn one = reader();
+                StandIn other = reader();
+                StandIn writer = writer();
+                World world = new World().engine("r0", "prefill", one).engine("r1", "prefill", other).engine("w",
+                        "decode", writer);
+                GatewayProgram gateway = GatewayProgram.serve(folder, world.config("127.0.0.1:0"))) {
+            gateway.readyPort();
+            for (int i = 0; i < WARM_REQUESTS; i++) {
+                assertThat(gateway.say(World.request("warm" + i, "lookup", "5.0"))).contains("[DONE]");
+            }
+            for (String id : List.of("a1", "a2", "a3")) {
+                assertThat(gateway.say(World.request(id, "lookup", "5.0"))).contains("[DONE]");
+            }
+            assertThat(released).as("requests released while their second read was out or its state waited for")
+                    .isEmpty();
+        }
+    }
+}
