Doubt a read that was overtaken from its send on, and none at readers that are hardly known

A read whose reader answered a later one has ended, and its answer is lost; but each further answer put its doubt off by a pin limit (called off after 800 ms where 600 are allowed). At readers that are hardly known at the send no timer is set any more: in large fleets these looks would have cost processor time for nothing.

--- a/src/main/java/maplerail/Logic.java
+++ b/src/main/java/maplerail/Logic.java
@@ -148,7 +148,7 @@
 
         /** When a read is no longer waited for: its reader, in turn, may hold a state since last heard. */
         double doubtedMs() {
-            double sinceMs = Math.max(sentMs, engine.heardMs);
+            double sinceMs = overtaken() ? sentMs : Math.max(sentMs, engine.heardMs);
             return Math.max(sentMs + expectedPatience(this), sinceMs + settings.rules().pinLimitMs());
         }
 
@@ -810,7 +810,7 @@
     /** Whether a read has to be doubted in time; where copies are allowed, overdue sends one. */
     private boolean mayLoseItsState(Request request, Engine engine) {
         boolean copied = settings.limits().secondCopies() && request.kind.repeat() != Repeat.UNSAFE;
-        return engine.role == Role.READ && !copied;
+        return engine.role == Role.READ && !copied && familiar(engine);
     }
 
     /**
@@ -823,10 +823,12 @@
         boolean over = request.phase == Phase.DONE || request.phase == Phase.STREAMING;
         if (over || read == null || read.ended || read.cancelled) return;
         double dueMs = read.doubtedMs();
-        boolean queue = !familiar(read.engine) || cold(read.engine)
-                || pooled(reads) > BEHIND * request.kind.aimMs() || now - shutToldMs < WAIT_MS;
+        boolean queue = cold(read.engine) || pooled(reads) > BEHIND * request.kind.aimMs()
+                || now - shutToldMs < WAIT_MS;
         if (now < dueMs || queue || !retries.allowsOverdraft()) {
-            setTimer(request.asked.id(), number, TimerKind.DOUBT, Math.max(dueMs, now + DOUBT_AGAIN_MS));
+            // An answer to a later read may prove the loss meanwhile.
+            double waitMs = now < dueMs ? Math.min(dueMs - now, DOUBT_AGAIN_MS) : DOUBT_AGAIN_MS;
+            setTimer(request.asked.id(), number, TimerKind.DOUBT, now + waitMs);
             return;
         }
         retries.overdraw();
