--- a/src/main/java/maplerail/net/Call.java
+++ b/src/main/java/maplerail/net/Call.java
@@ -81,6 +81,11 @@
         return reader.headWhole() && reader.status() == StatusCodes.OK;
     }
 
+    /** When the last bytes of its answer came; 0 before any. */
+    double receivedMs() {
+        return receivedMs;
+    }
+
     /** How far it has come, for the log: what was written, on which connection, and what has come back. */
     public String trace() {
         String written = bytes == null ? "not written" : "written " + bytes.position() + " of " + bytes.limit();
--- a/src/main/java/maplerail/net/TextReply.java
+++ b/src/main/java/maplerail/net/TextReply.java
@@ -13,7 +13,7 @@
     private int status;
     private HeaderMap headers;
     private boolean over;
-    private boolean cameSinceLook;
+    private double lookedMs;
 
     /** The whole answer; false if it is of no use, which then counts as none. */
     protected abstract boolean whole(int code, HeaderMap head, String body);
@@ -29,8 +29,8 @@
      */
     public final boolean expire(Call call) {
         if (over) return false;
-        if (cameSinceLook) {
-            cameSinceLook = false;
+        if (call.receivedMs() > lookedMs) {
+            lookedMs = call.receivedMs();
             return true;
         }
         call.abort();
@@ -46,7 +46,6 @@
 
     @Override
     public final void body(ByteBuffer piece) {
-        cameSinceLook = true;
         while (piece.hasRemaining() && text.size() < MOST) text.write(piece.get());
     }
 
