--- a/src/main/java/maplerail/net/EngineClient.java
+++ b/src/main/java/maplerail/net/EngineClient.java
@@ -83,7 +83,8 @@
             unfit = Outcomes.unfit(status);
             // Without framing the end of the connection is no sign of a whole answer.
             framed = headers.contains(Headers.TRANSFER_ENCODING) || headers.contains(Headers.CONTENT_LENGTH);
-            if (meaning == Outcome.READ) loop.at(loop.nowMs() + READ_BODY_MS, this::endWithoutBody);
+            if (meaning == Outcome.READ)
+                loop.at(loop.nowMs() + READ_BODY_MS, () -> loop.afterInput(this::endWithoutBody));
         }
 
         /** Its head says that a state is held, and the time of that runs; the body only tells what was kept. */
