Look again at a read whose reader was not known yet when it was due to be doubted

A read at a reader that is not known is looked at for one pin limit more, which bounds what that costs a gateway of a large fleet.

--- a/src/main/java/maplerail/Logic.java
+++ b/src/main/java/maplerail/Logic.java
@@ -810,7 +810,7 @@
     /** Whether a read has to be doubted in time; where copies are allowed, overdue sends one. */
     private boolean mayLoseItsState(Request request, Engine engine) {
         boolean copied = settings.limits().secondCopies() && request.kind.repeat() != Repeat.UNSAFE;
-        return engine.role == Role.READ && !copied && familiar(engine);
+        return engine.role == Role.READ && !copied;
     }
 
     /**
@@ -820,13 +820,13 @@
      */
     private void doubtRead(Request request, int number) {
         Attempt read = number < request.attempts.size() ? request.attempts.get(number) : null;
-        boolean over = request.phase == Phase.DONE || request.phase == Phase.STREAMING;
-        if (over || read == null || read.ended || read.cancelled) return;
+        if (request.phase != Phase.READING || read == null || read.ended || read.cancelled) return;
         double dueMs = read.doubtedMs();
-        boolean queue = cold(read.engine) || pooled(reads) > BEHIND * request.kind.aimMs()
-                || now - shutToldMs < WAIT_MS;
+        boolean known = familiar(read.engine);
+        if (!known && now > dueMs + settings.rules().pinLimitMs()) return;
+        boolean queue = !known || cold(read.engine) || now - shutToldMs < WAIT_MS
+                || pooled(reads) > BEHIND * request.kind.aimMs();
         if (now < dueMs || queue || !retries.allowsOverdraft()) {
-            // An answer to a later read may prove the loss meanwhile.
             double waitMs = now < dueMs ? Math.min(dueMs - now, DOUBT_AGAIN_MS) : DOUBT_AGAIN_MS;
             setTimer(request.asked.id(), number, TimerKind.DOUBT, now + waitMs);
             return;
