Let four test classes share one event loop, and two the wait for a span of time

Each of the four started and stopped a worker with its loop by the same lines. Assertions are unchanged; the four classes and ArchitectureTest pass.

--- a/src/test/java/maplerail/cli/FinalAnswerIT.java
+++ b/src/test/java/maplerail/cli/FinalAnswerIT.java
@@ -196,8 +196,7 @@
             int port = gateway.readyPort();
             gateway.signal("STOP");
             Map<String, CompletableFuture<Seen>> asked = askAll(port);
-            double endMs = nowMs() + STOPPED_FOR_MS;
-            World.await("the end of the standstill", () -> nowMs() >= endMs);
+            World.pass(STOPPED_FOR_MS);
             gateway.signal("CONT");
             assertInTime(asked, gateway);
         }
--- a/src/test/java/maplerail/cli/ToldDeadlineIT.java
+++ b/src/test/java/maplerail/cli/ToldDeadlineIT.java
@@ -76,12 +76,6 @@
         deadlineMs.put(id, nowMs() + BUDGET_MS);
     }
 
-    /** Lets a client, or a signal, take its time. */
-    private static void pass(double forMs) throws Exception {
-        double endMs = nowMs() + forMs;
-        World.await("some time later", () -> nowMs() >= endMs);
-    }
-
     private static void write(Socket client, String text) throws Exception {
         client.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
         client.getOutputStream().flush();
@@ -95,7 +89,7 @@
             try (Socket client = new Socket("127.0.0.1", port)) {
                 sent("a1");
                 write(client, text.substring(0, body));
-                pass(PIECES_FOR_MS);
+                World.pass(PIECES_FOR_MS);
                 write(client, text.substring(body));
                 World.readUntil(client, "[DONE]");
             }
@@ -115,7 +109,7 @@
                 sent("a2");
                 for (int i = 0; i < text.length(); i += piece) {
                     write(client, text.substring(i, Math.min(text.length(), i + piece)));
-                    pass(PIECES_FOR_MS / 20);
+                    World.pass(PIECES_FOR_MS / 20);
                 }
                 World.readUntil(client, "[DONE]");
             }
@@ -137,7 +131,7 @@
                 sent("s" + i);
                 write(clients.get(i), request("s" + i));
             }
-            pass(STOPPED_FOR_MS);
+            World.pass(STOPPED_FOR_MS);
             gateway.signal("CONT");
             for (Socket client : clients) World.readUntil(client, "HTTP/1.1 ");
             for (Socket client : clients) client.close();
--- a/src/test/java/maplerail/net/EngineClientTest.java
+++ b/src/test/java/maplerail/net/EngineClientTest.java
@@ -4,7 +4,6 @@
 import static maplerail.support.World.take;
 import static org.assertj.core.api.Assertions.assertThat;
 
-import io.undertow.server.DefaultByteBufferPool;
 import io.undertow.util.Methods;
 import java.util.List;
 import java.util.Map;
@@ -14,34 +13,26 @@
 import maplerail.core.Engines;
 import maplerail.support.StandIn;
 import maplerail.support.World;
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
-import org.xnio.OptionMap;
-import org.xnio.Options;
-import org.xnio.Xnio;
-import org.xnio.XnioWorker;
+import org.junit.jupiter.api.extension.RegisterExtension;
 
 /** Attempts and releases over real sockets. */
 class EngineClientTest {
     private static final long ENGINE = 7;
     private static final double CONNECT_TIMEOUT_MS = 20_000;
 
-    private final XnioWorker worker;
+    @RegisterExtension
+    private final LoopOnWorker own;
     private final XnioLoop loop;
     private final BlockingQueue<String> heard = World.queue();
 
     EngineClientTest() throws Exception {
-        worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
-        loop = new XnioLoop(worker.getIoThread());
-    }
-
-    @AfterEach
-    void stop() {
-        worker.shutdownNow();
+        own = new LoopOnWorker();
+        loop = own.loop();
     }
 
     private EngineClient client(StandIn engine, int connections) {
-        Pool pool = new Pool(loop, new DefaultByteBufferPool(true, 8_192), 30_000, CONNECT_TIMEOUT_MS, connections);
+        Pool pool = own.pool(30_000, CONNECT_TIMEOUT_MS, connections);
         EngineClient client = new EngineClient(pool);
         client.addresses(Map.of(ENGINE, engine.socketAddress()));
         return client;
--- /dev/null
+++ b/src/test/java/maplerail/net/LoopOnWorker.java
@@ -0,0 +1,37 @@
+package maplerail.net;
+
+import io.undertow.server.DefaultByteBufferPool;
+import java.io.IOException;
+import org.junit.jupiter.api.extension.AfterEachCallback;
+import org.junit.jupiter.api.extension.ExtensionContext;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+/** A test's own event loop on a real thread, which ends with the test. */
+final class LoopOnWorker implements AfterEachCallback {
+    private static final int BUFFER_BYTES = 8_192;
+
+    private final XnioWorker worker;
+    private final XnioLoop loop;
+
+    LoopOnWorker() throws IOException {
+        worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
+        loop = new XnioLoop(worker.getIoThread());
+    }
+
+    XnioLoop loop() {
+        return loop;
+    }
+
+    /** A pool on the loop of at most so many connections. */
+    Pool pool(double connIdleMs, double connectTimeoutMs, int most) {
+        return new Pool(loop, new DefaultByteBufferPool(true, BUFFER_BYTES), connIdleMs, connectTimeoutMs, most);
+    }
+
+    @Override
+    public void afterEach(ExtensionContext context) {
+        worker.shutdownNow();
+    }
+}
--- a/src/test/java/maplerail/net/PoolTest.java
+++ b/src/test/java/maplerail/net/PoolTest.java
@@ -4,7 +4,6 @@
 import static maplerail.support.World.take;
 import static org.assertj.core.api.Assertions.assertThat;
 
-import io.undertow.server.DefaultByteBufferPool;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Methods;
 import java.io.IOException;
@@ -28,29 +27,22 @@
 import java.util.stream.Stream;
 import maplerail.support.StandIn;
 import maplerail.support.World;
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.extension.RegisterExtension;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.xnio.FailedIoFuture;
 import org.xnio.OptionMap;
-import org.xnio.Options;
-import org.xnio.Xnio;
-import org.xnio.XnioWorker;
 
 class PoolTest {
-    private final XnioWorker worker;
+    @RegisterExtension
+    private final LoopOnWorker own;
     private final XnioLoop loop;
     private final BlockingQueue<String> heard = World.queue();
 
     PoolTest() throws Exception {
-        worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
-        loop = new XnioLoop(worker.getIoThread());
-    }
-
-    @AfterEach
-    void stop() {
-        worker.shutdownNow();
+        own = new LoopOnWorker();
+        loop = own.loop();
     }
 
     private Pool pool(double connIdleMs) {
@@ -67,7 +59,7 @@
     }
 
     private Pool pool(double connIdleMs, double connectMs, int most) {
-        return new Pool(loop, new DefaultByteBufferPool(true, 8_192), connIdleMs, connectMs, most);
+        return own.pool(connIdleMs, connectMs, most);
     }
 
     private String post(Pool pool, InetSocketAddress to) throws Exception {
--- a/src/test/java/maplerail/net/SlowAnswerTest.java
+++ b/src/test/java/maplerail/net/SlowAnswerTest.java
@@ -4,7 +4,6 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.undertow.client.ClientRequest;
-import io.undertow.server.DefaultByteBufferPool;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
 import io.undertow.util.Methods;
@@ -16,15 +15,11 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import maplerail.support.StandIn;
 import maplerail.support.World;
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.extension.RegisterExtension;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
-import org.xnio.OptionMap;
-import org.xnio.Options;
-import org.xnio.Xnio;
-import org.xnio.XnioWorker;
 
 /** Answers that come slowly and are sound, and those that stop, on a site whose states may be held for 250 ms. */
 class SlowAnswerTest {
@@ -39,19 +34,15 @@
     private static final String CHUNK = Integer.toHexString(EVENT.length()) + "\r\n" + EVENT + "\r\n";
     private static final String END = "0\r\n\r\n";
 
-    private final XnioWorker worker;
+    @RegisterExtension
+    private final LoopOnWorker own;
     private final XnioLoop loop;
     private final BlockingQueue<String> heard = World.queue();
     private final StringBuilder came = new StringBuilder();
 
     SlowAnswerTest() throws Exception {
-        worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
-        loop = new XnioLoop(worker.getIoThread());
-    }
-
-    @AfterEach
-    void stop() {
-        worker.shutdownNow();
+        own = new LoopOnWorker();
+        loop = own.loop();
     }
 
     private final class Heard implements Reply {
@@ -78,7 +69,7 @@
 
     /** What is heard of a call, up to its end. */
     private String call(StandIn server) throws Exception {
-        Pool pool = new Pool(loop, new DefaultByteBufferPool(true, 8_192), 30_000, 20_000, 50);
+        Pool pool = own.pool(30_000, 20_000, 50);
         InetSocketAddress to = server.socketAddress();
         ClientRequest request = Requests.to(to, Methods.POST, "/");
         request.getRequestHeaders().put(Headers.CONTENT_LENGTH, 2);
--- a/src/test/java/maplerail/net/XnioLoopTest.java
+++ b/src/test/java/maplerail/net/XnioLoopTest.java
@@ -4,29 +4,21 @@
 
 import java.util.concurrent.BlockingQueue;
 import maplerail.support.World;
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
-import org.xnio.OptionMap;
-import org.xnio.Options;
-import org.xnio.Xnio;
-import org.xnio.XnioWorker;
+import org.junit.jupiter.api.extension.RegisterExtension;
 
 /** Guards against a loop that no longer knows what it has read, which would take every request for an old one. */
 class XnioLoopTest {
     private static final double STOOD_STILL_MS = 200;
 
-    private final XnioWorker worker;
+    @RegisterExtension
+    private final LoopOnWorker own;
     private final XnioLoop loop;
     private final BlockingQueue<String> heard = World.queue();
 
     XnioLoopTest() throws Exception {
-        worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
-        loop = new XnioLoop(worker.getIoThread());
-    }
-
-    @AfterEach
-    void stop() {
-        worker.shutdownNow();
+        own = new LoopOnWorker();
+        loop = own.loop();
     }
 
     @Test
--- a/src/test/java/maplerail/support/World.java
+++ b/src/test/java/maplerail/support/World.java
@@ -122,6 +122,12 @@
         }
     }
 
+    /** Lets a client, or a signal, take its time. */
+    public static void pass(double forMs) throws InterruptedException {
+        double startNanos = System.nanoTime();
+        await("some time later", () -> (System.nanoTime() - startNanos) / 1e6 >= forMs);
+    }
+
     public static <T> T take(BlockingQueue<T> queue) throws InterruptedException {
         T next = queue.poll(20, TimeUnit.SECONDS);
         if (next == null) throw new AssertionError("nothing came");
