--- a/src/main/java/maplerail/core/HeldStates.java
+++ b/src/main/java/maplerail/core/HeldStates.java
@@ -28,7 +28,7 @@
 
     /** How a release ended. */
     private enum Release {
-        ANSWERED, ANSWERED_LATE, NEVER_ANSWERED
+        ANSWERED, ANSWERED_LATE, NEVER_ANSWERED, WITHHELD
     }
 
     private static final double LEASE_SLACK_MS = 300; // added to the lease term by the protocol rules for sockets
@@ -73,16 +73,12 @@
         loop.schedule(lease.expiresMs(), () -> onLeaseExpired(active, engine, lease));
     }
 
-    /**
-     * A read has ended without an answer: its state may be held, for an unknown time. Logged if that can be longer than
-     * the lease term, as there is no lease for it.
-     */
+    /** A read has ended without an answer: its state may be held, for an unknown time. */
     void onReadUnanswered(ActiveRequest active, ActiveRequest.Attempt read) {
         active.possibleHolders.add(read.engine);
-        double elapsedMs = loop.nowMs() - read.sentMs;
-        if (elapsedMs <= leaseTermMs || !mayLog()) return;
+        if (!mayLog()) return;
         log.accept("read of " + active.request.id() + " at " + Long.toHexString(read.engine) + " ended " + read.outcome
-                + " after " + Math.round(elapsedMs) + " ms, " + read.handle.trace());
+                + " after " + Math.round(loop.nowMs() - read.sentMs) + " ms, " + read.handle.trace());
     }
 
     /** An attempt has ended. An answer from its engine proves that the attempt was in flight until now. */
@@ -165,6 +161,13 @@
                 + Math.round(sinceAbortMs) + " ms after its read was aborted;" + active.history(loop.nowMs()));
     }
 
+    private void logWithheld(ActiveRequest active, long engine) {
+        counters.count(Release.WITHHELD);
+        if (!mayLog()) return;
+        log.accept("release of " + active.request.id() + " at " + Long.toHexString(engine) + " withheld, "
+                + active.leases.size() + " states reported;" + active.history(loop.nowMs()));
+    }
+
     private boolean mayLog() {
         logLimit.rollWindow(); // the number of dropped lines follows from the counters
         return logLimit.tryAcquire();
@@ -208,7 +211,9 @@
         loop.schedule(atMs, () -> {
             // A release frees everything that is held for the request, including the state of another reader.
             boolean inUse = !active.answered && (active.hasAttemptInFlight() || !active.leases.isEmpty());
-            if (!inUse) {
+            if (inUse) {
+                logWithheld(active, engine);
+            } else {
                 counters.count(Reason.LEFT_BY_CUT_READ);
                 sendRelease(active, engine, loop.nowMs() + leaseTermMs);
             }
