Release what an unanswered read left before the next read, and bound that read

Cause: a read that broke or was called off may leave a state. Its release waited until no attempt was in flight, and the next read counted as in flight once its bytes had left, though a stopped reader never takes it. Releases also went to the holder alone. Class: bytes sent are taken for an attempt in flight (as in December's first incident, for writes).

Change: each state that may exist has a lease (UnconfirmedState) until a release that covers it is answered. The module learns of the end of an unanswered read once a release is answered, after 100 ms at the latest. The next read is sent once its own reader has answered a release, which proves that it runs; otherwise it counts as unreachable. While the first reader answers no release, it may be stopped in the middle of its read: the next read is then called off at the end of the lease unless its reader answered something after it was sent. A release that its holder does not answer within 40 ms is tried at other engines (StateRelease), unless a read or a reported state of the request needs what is held.

--- a/src/main/java/maplerail/core/ActiveRequest.java
+++ b/src/main/java/maplerail/core/ActiveRequest.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 import maplerail.Router;
+import maplerail.policy.AnswerTimes;
 import maplerail.policy.PriorAttempt;
 import maplerail.policy.ProtocolRules;
 import maplerail.policy.RequestState;
@@ -30,6 +31,16 @@
     final Map<Long, StateLease> leases = new LinkedHashMap<>();
     /** Readers whose states were released while a write was in flight that may have needed them. */
     final Set<Long> reclaimedEngines = new LinkedHashSet<>();
+    /** States that readers may hold although none reported them or although they were released, by engine. */
+    final Map<Long, UnconfirmedState> unconfirmedStates = new LinkedHashMap<>();
+    /** When a read last ended without an answer. */
+    double lastUnansweredReadMs = Double.NEGATIVE_INFINITY;
+    /** When the latest release was sent that an engine has answered. */
+    double lastAnsweredReleaseMs = Double.NEGATIVE_INFINITY;
+    /** Tasks that wait for the answer to a release. */
+    final List<Runnable> releaseWaiters = new ArrayList<>();
+    /** Ends of reads of which the module learns once the states that they may have left are released. */
+    final List<Router.Ended> heldBackEnds = new ArrayList<>();
     boolean admitted;
     boolean answered;
     /** When a read was last aborted or reset, by engine. The engine may finish the read and hold its state. */
@@ -59,6 +70,20 @@
         return attempts.stream().anyMatch(attempt -> !attempt.ended);
     }
 
+    /** The reads in flight: one, or several where copies are allowed. */
+    List<Attempt> readsInFlight() {
+        return attempts.stream().filter(attempt -> attempt.atReader && !attempt.ended && !attempt.awaitingRelease)
+                .toList();
+    }
+
+    /**
+     * True while an attempt may depend on what is held: a read is in flight, which a release would make useless, or a
+     * state waits to be fetched, or a stream is under way.
+     */
+    boolean needsHeldStates() {
+        return !answered && (!readsInFlight().isEmpty() || !leases.isEmpty() || winner != null);
+    }
+
     /**
      * Returns the latest time at which an aborted read may still finish at an engine, or negative infinity if no read
      * was aborted there. A read that waits in the engine's queue may start until the deadline that the engine was
@@ -112,11 +137,23 @@
         boolean paused;
         /** Cancelled, but kept open until the states held for the request can be released. */
         boolean lingering;
+        /** Whether the attempt has not been handed to the transport yet, as a release precedes it. */
+        boolean awaitingRelease;
         boolean ended;
         /** How the attempt ended; null while it is in flight. */
         Router.Outcome outcome;
         double endedMs;
 
+        /**
+         * The latest time at which its engine is known to have run after the attempt had been sent to it, which
+         * proves that the attempt was in flight then; negative infinity if there is no proof.
+         */
+        double provenInFlightMs(AnswerTimes answerTimes) {
+            double answeredMs = answerTimes.lastMs(engine);
+            boolean writtenBefore = handle != null && handle.writtenMs() <= answeredMs;
+            return writtenBefore ? answeredMs : Double.NEGATIVE_INFINITY;
+        }
+
         /** The attempt as the protocol rules see it. */
         PriorAttempt toPriorAttempt() {
             return new PriorAttempt(target, sentMs, outcome);
--- a/src/main/java/maplerail/core/AttemptRunner.java
+++ b/src/main/java/maplerail/core/AttemptRunner.java
@@ -6,8 +6,10 @@
 import java.util.function.Consumer;
 import maplerail.Router;
 import maplerail.Router.Outcome;
+import maplerail.policy.AnswerTimes;
 import maplerail.policy.ProtocolRules;
 import maplerail.policy.ProtocolRules.Reason;
+import maplerail.policy.StateLease;
 
 /** Makes the attempts that the module orders, ends them and reports their outcomes to the module. */
 final class AttemptRunner {
@@ -22,6 +24,7 @@
     private final EngineTransport transport;
     private final EventLoop loop;
     private final Fleet fleet;
+    private final AnswerTimes answerTimes;
     private final RequestRegistry registry;
     private final Relay relay;
     private final Router.Settings settings;
@@ -35,13 +38,13 @@
     private DecisionLoop decisions;
     private Consumer<ActiveRequest> disconnectHandler;
 
-    AttemptRunner(EngineTransport transport, EventLoop loop, Fleet fleet, RequestRegistry registry,
-            HeldStates heldStates,
-            Relay relay, Router.Settings settings, RuleMonitor monitor, ServiceCounters counters,
-            FailureLog failureLog, Consumer<String> log) {
+    AttemptRunner(EngineTransport transport, EventLoop loop, Fleet fleet, AnswerTimes answerTimes,
+            RequestRegistry registry, HeldStates heldStates, Relay relay, Router.Settings settings, RuleMonitor monitor,
+            ServiceCounters counters, FailureLog failureLog, Consumer<String> log) {
         this.transport = transport;
         this.loop = loop;
         this.fleet = fleet;
+        this.answerTimes = answerTimes;
         this.registry = registry;
         this.relay = relay;
         this.settings = settings;
@@ -68,6 +71,7 @@
                 : active.deadlineMs;
         Reason verdict = checkSend(active, order.engine());
         if (verdict == Reason.ALLOWED && deadlineMs <= loop.nowMs()) verdict = Reason.DEADLINE_PASSED;
+        boolean releaseFirst = attempt.atReader && heldStates.mustReleaseBeforeRead(active);
         active.attempts.add(attempt);
         if (verdict != Reason.ALLOWED) {
             withhold(attempt, verdict);
@@ -76,8 +80,15 @@
         }
         repeats.logRepeats(attempt);
         attempt.timeout = loop.schedule(deadlineMs, () -> abort(attempt, Outcome.TIMEOUT));
-        attempt.handle = transport.send(order.engine(), active.request, deadlineMs,
-                () -> mayStart(attempt, order.startByMs()),
+        attempt.awaitingRelease = releaseFirst;
+        if (releaseFirst) sendAfterRelease(attempt, deadlineMs, order.startByMs());
+        else send(attempt, deadlineMs, order.startByMs());
+        if (order.startByMs() < deadlineMs) loop.schedule(order.startByMs(), () -> withdraw(attempt));
+    }
+
+    private void send(ActiveRequest.Attempt attempt, double deadlineMs, double startByMs) {
+        attempt.handle = transport.send(attempt.engine, attempt.active.request, deadlineMs,
+                () -> mayStart(attempt, startByMs),
                 new EngineTransport.AnswerListener() {
                     @Override
                     public void event(byte[] event) {
@@ -94,7 +105,17 @@
                         AttemptRunner.this.onEnded(attempt, outcome, cachedTokens);
                     }
                 });
-        if (order.startByMs() < deadlineMs) loop.schedule(order.startByMs(), () -> withdraw(attempt));
+    }
+
+    /** Sends a read once its reader has answered a release; without an answer, the reader counts as unreachable. */
+    private void sendAfterRelease(ActiveRequest.Attempt attempt, double deadlineMs, double startByMs) {
+        attempt.handle = new AwaitingReleaseHandle();
+        heldStates.releaseBeforeRead(attempt.active, attempt.engine, answered -> {
+            if (attempt.ended) return;
+            attempt.awaitingRelease = false;
+            if (!answered) finish(attempt, Outcome.UNREACHABLE, true, 0);
+            else if (mayStart(attempt, startByMs)) send(attempt, deadlineMs, startByMs);
+        });
     }
 
     /** Checks whether an attempt may be sent now. Also checks whether the client is still connected. */
@@ -145,6 +166,7 @@
             return;
         }
         ActiveRequest active = attempt.active;
+        answerTimes.record(attempt.engine, loop.inputArrivedAfterMs());
         attempt.lastEventMs = loop.nowMs();
         if (active.winner == null && !active.answered) {
             active.winner = attempt;
@@ -231,13 +253,18 @@
         }
     }
 
+    /** Calls off a read, of which nothing proves that it is in flight. */
+    void callOff(ActiveRequest.Attempt read) {
+        abort(read, Outcome.CANCELLED);
+    }
+
     private void abort(ActiveRequest.Attempt attempt, Outcome outcome) {
         if (attempt.ended) return;
         Outcome provenOutcome = attempt.handle.unsent() && outcome == Outcome.CANCELLED ? Outcome.NOT_SENT : outcome;
         attempt.handle.abort();
         if (attempt.atReader && !provenOutcome.hadNoEffect)
             attempt.active.abortedReadTimesMs.put(attempt.engine, loop.nowMs());
-        onEnded(attempt, provenOutcome, 0);
+        finish(attempt, provenOutcome, true, 0);
     }
 
     /**
@@ -258,6 +285,22 @@
     private void onEnded(ActiveRequest.Attempt attempt, Outcome reported, double cachedTokens) {
         if (attempt.ended) return;
         Outcome outcome = validateOutcome(attempt, reported);
+        // A read whose connection was reset may be finished, as its reader was not told to stop.
+        if (attempt.atReader && outcome == Outcome.RESET)
+            attempt.active.abortedReadTimesMs.put(attempt.engine, loop.nowMs());
+        boolean valid = outcome == reported;
+        if (valid && StateLease.isEngineAnswer(outcome))
+            answerTimes.record(attempt.engine, loop.inputArrivedAfterMs());
+        finish(attempt, outcome, valid, cachedTokens);
+    }
+
+    /**
+     * Ends an attempt. The module learns of the end of a read without an answer once the state that it may have left is
+     * released.
+     *
+     * @param valid false if the attempt's engine gave an invalid answer, which proves nothing
+     */
+    private void finish(ActiveRequest.Attempt attempt, Outcome outcome, boolean valid, double cachedTokens) {
         attempt.ended = true;
         attempt.outcome = outcome;
         attempt.endedMs = loop.nowMs();
@@ -265,18 +308,22 @@
         requestsToSettle.add(attempt.active);
         if (attempt.timeout != null) attempt.timeout.cancel();
         ActiveRequest active = attempt.active;
-        // An invalid answer proves nothing.
-        if (outcome == reported) heldStates.onAttemptEnded(active, outcome);
+        if (valid) heldStates.onAttemptEnded(active, outcome);
         if (outcome == Outcome.READ) heldStates.onStateHeld(active, attempt.engine);
+        boolean unansweredRead = attempt.atReader && !outcome.hadNoEffect;
         // A read may have finished successfully just as it was aborted.
-        if (attempt.atReader && !outcome.hadNoEffect) heldStates.onReadUnanswered(active, attempt);
-        // So may one whose connection was reset, as its reader was not told to stop.
-        if (attempt.atReader && outcome == Outcome.RESET) active.abortedReadTimesMs.put(attempt.engine, loop.nowMs());
+        if (unansweredRead) heldStates.onReadUnanswered(active, attempt);
         // A complete answer without any event also goes to the caller.
         if (outcome == Outcome.SERVED && active.winner == null && !active.answered) active.winner = attempt;
         if (active.winner == attempt) relay.onEnded(attempt, outcome);
-        decisions.deliver(new Router.Ended(active.number, attempt.number, attempt.engine, outcome,
-                loop.nowMs() - attempt.sentMs, cachedTokens, active.answered, UNKNOWN_LOAD));
+        Router.Ended end = new Router.Ended(active.number, attempt.number, attempt.engine, outcome,
+                loop.nowMs() - attempt.sentMs, cachedTokens, active.answered, UNKNOWN_LOAD);
+        if (unansweredRead) {
+            active.heldBackEnds.add(end);
+            decisions.settle();
+        } else {
+            decisions.deliver(end);
+        }
     }
 
     /**
@@ -285,7 +332,13 @@
      * step.
      */
     void settle() {
-        requestsToSettle.forEach(registry::settle);
+        List<ActiveRequest> ended = List.copyOf(requestsToSettle);
         requestsToSettle.clear();
+        for (ActiveRequest active : ended) {
+            registry.settle(active);
+            List<Router.Ended> ends = List.copyOf(active.heldBackEnds);
+            active.heldBackEnds.clear();
+            if (!ends.isEmpty()) heldStates.afterRelease(active, () -> ends.forEach(decisions::deliver));
+        }
     }
 }
--- a/src/main/java/maplerail/core/Broker.java
+++ b/src/main/java/maplerail/core/Broker.java
@@ -4,6 +4,7 @@
 import java.util.stream.Collectors;
 import maplerail.Router;
 import maplerail.core.Caller.Why;
+import maplerail.policy.AnswerTimes;
 import maplerail.policy.ProtocolRules;
 import maplerail.policy.ProtocolRules.Reason;
 
@@ -41,15 +42,18 @@
         monitor = new RuleMonitor(loop, counters, log);
         fleet = new Fleet(settings.kinds());
         this.quotas = quotas;
-        heldStates = new HeldStates(transport, loop, settings.rules().pinLimitMs(), monitor, counters, log);
+        AnswerTimes answerTimes = new AnswerTimes();
+        heldStates = new HeldStates(transport, loop, fleet, answerTimes, settings.rules().pinLimitMs(), monitor,
+                counters, log);
         registry = new RequestRegistry(heldStates, loop, quotas, settings.rules(), monitor);
         admission = new Admission(loop, registry);
         failureLog = new FailureLog(loop, log);
         relay = new Relay(registry, loop, failureLog, counters);
-        runner = new AttemptRunner(transport, loop, fleet, registry, heldStates, relay, settings, monitor, counters,
-                failureLog, log);
+        runner = new AttemptRunner(transport, loop, fleet, answerTimes, registry, heldStates, relay, settings, monitor,
+                counters, failureLog, log);
         decisions = new DecisionLoop(router, loop, this::perform, runner::settle, log);
         runner.connect(decisions, this::onCallerDisconnected);
+        heldStates.connect(runner::callOff);
     }
 
     /** Accepts a request. Its caller gets exactly one final answer in any case, unless it disconnects before. */
--- a/src/main/java/maplerail/core/DecisionLoop.java
+++ b/src/main/java/maplerail/core/DecisionLoop.java
@@ -39,13 +39,20 @@
      */
     void deliver(Router.Event event) {
         pendingEvents.add(event);
+        settle();
+    }
+
+    /** Settles once no event is pending, which may deliver further events. */
+    void settle() {
         if (delivering) return;
         delivering = true;
         try {
-            for (Router.Event next = pendingEvents.poll(); next != null; next = pendingEvents.poll()) {
-                decide(next).forEach(perform);
-            }
-            afterActions.run();
+            do {
+                for (Router.Event next = pendingEvents.poll(); next != null; next = pendingEvents.poll()) {
+                    decide(next).forEach(perform);
+                }
+                afterActions.run();
+            } while (!pendingEvents.isEmpty());
         } finally {
             delivering = false;
         }
--- a/src/main/java/maplerail/core/EngineTransport.java
+++ b/src/main/java/maplerail/core/EngineTransport.java
@@ -39,6 +39,11 @@
             return false;
         }
 
+        /** When the attempt had been written to its connection, NaN before that. */
+        default double writtenMs() {
+            return Double.NaN;
+        }
+
         /** Aborts the attempt. The listener gets no further calls. */
         void abort();
 
--- a/src/main/java/maplerail/core/Fleet.java
+++ b/src/main/java/maplerail/core/Fleet.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeSet;
 import maplerail.Router;
 import maplerail.policy.ProtocolRules;
 
@@ -30,6 +31,11 @@
         }
     }
 
+    /** The engines in service, in a new set. */
+    Set<Long> readyEngines() {
+        return new TreeSet<>(ready);
+    }
+
     boolean isReady(long engine) {
         return ready.contains(engine);
     }
--- a/src/main/java/maplerail/core/HeldStates.java
+++ b/src/main/java/maplerail/core/HeldStates.java
@@ -1,17 +1,18 @@
 package maplerail.core;
 
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.function.Consumer;
 import maplerail.Router;
 import maplerail.core.RuleMonitor.Breach;
+import maplerail.policy.AnswerTimes;
 import maplerail.policy.StateLease;
 
 /**
  * Tracks and releases the states that engines hold, or may hold, for requests. Each state that a reader reported has a
  * {@link StateLease}. When the lease expires, the state is released whatever the decision module does, unless a
- * writer's answer has started. Releases are repeated for a while where an aborted read may leave a state.
+ * writer's answer has started. A state that may exist has a lease too, until a release is answered that was sent when
+ * it could no longer come into being. If a read is in flight when that lease expires, the read is called off first, as
+ * nothing proves that an engine has taken it. Releases are repeated for a while where an aborted read may leave a state.
  */
 final class HeldStates {
     /** Why a state was released. */
@@ -23,7 +24,9 @@
         /** The lease expired without an answer from a writer. */
         LEASE_EXPIRED,
         /** An aborted read may have finished meanwhile. */
-        LEFT_BY_CUT_READ
+        LEFT_BY_CUT_READ,
+        /** A read was called off because nothing proved that it was in flight while a state may have been held. */
+        READ_NOT_PROVEN
     }
 
     /** How a release ended. */
@@ -39,9 +42,13 @@
     /** How long a release is retried, in lease terms: an engine that becomes reachable again still holds the state. */
     private static final double RELEASE_RETRY_TERMS = 4;
     private static final double LATE_RELEASE_ANSWER_MS = 100; // answers to releases that take longer are logged
+    /** Longest time for which a further attempt waits for the answer to a release. */
+    private static final double MAX_RELEASE_WAIT_MS = 100;
 
     private final EngineTransport transport;
     private final EventLoop loop;
+    private final Fleet fleet;
+    private final AnswerTimes answerTimes;
     private final double leaseTermMs;
     private final RuleMonitor monitor;
     private final ServiceCounters counters;
@@ -49,12 +56,14 @@
     private final LogRateLimiter logLimit;
     private int releasesInFlight;
     private int scheduledRepeats;
+    private Consumer<ActiveRequest.Attempt> callOff;
 
-    HeldStates(EngineTransport transport, EventLoop loop, double leaseTermMs, RuleMonitor monitor,
-            ServiceCounters counters,
-            Consumer<String> log) {
+    HeldStates(EngineTransport transport, EventLoop loop, Fleet fleet, AnswerTimes answerTimes, double leaseTermMs,
+            RuleMonitor monitor, ServiceCounters counters, Consumer<String> log) {
         this.transport = transport;
         this.loop = loop;
+        this.fleet = fleet;
+        this.answerTimes = answerTimes;
         this.leaseTermMs = leaseTermMs;
         this.monitor = monitor;
         this.counters = counters;
@@ -62,6 +71,11 @@
         this.logLimit = new LogRateLimiter(loop);
     }
 
+    /** Sets the action that calls off a read. */
+    void connect(Consumer<ActiveRequest.Attempt> onCallOff) {
+        callOff = onCallOff;
+    }
+
     /**
      * A reader reported that it holds a state. The lease starts at the earliest time at which its answer can have
      * arrived, as the answer may have waited unread.
@@ -76,6 +90,8 @@
     /** A read has ended without an answer: its state may be held, for an unknown time. */
     void onReadUnanswered(ActiveRequest active, ActiveRequest.Attempt read) {
         active.possibleHolders.add(read.engine);
+        active.lastUnansweredReadMs = loop.nowMs();
+        addUnconfirmed(active, read.engine, new StateLease(leaseTermMs, loop.nowMs()));
         if (!mayLog()) return;
         log.accept("read of " + active.request.id() + " at " + Long.toHexString(read.engine) + " ended " + read.outcome
                 + " after " + Math.round(loop.nowMs() - read.sentMs) + " ms, " + read.handle.trace());
@@ -84,6 +100,8 @@
     /** An attempt has ended. An answer from its engine proves that the attempt was in flight until now. */
     void onAttemptEnded(ActiveRequest active, Router.Outcome outcome) {
         active.leases.values().forEach(lease -> lease.onAttemptEnded(outcome, loop.inputArrivedAfterMs()));
+        active.unconfirmedStates.values()
+                .forEach(state -> state.lease().onAttemptEnded(outcome, loop.inputArrivedAfterMs()));
         if (active.hasAttemptInFlight()) return;
         // If the write did arrive, its reader keeps the state for it: the lease starts when the write ends.
         if (outcome != Router.Outcome.STATE_GONE)
@@ -95,9 +113,94 @@
     void onStreamStarted(ActiveRequest active) {
         active.possibleHolders.retainAll(active.abortedReadTimesMs.keySet());
         active.leases.clear();
+        active.unconfirmedStates.clear();
         active.reclaimedEngines.clear();
     }
 
+    private void addUnconfirmed(ActiveRequest active, long engine, StateLease lease) {
+        UnconfirmedState state = new UnconfirmedState(lease, loop.nowMs());
+        active.unconfirmedStates.put(engine, state);
+        loop.schedule(lease.expiresMs(), () -> onUnconfirmedExpired(active, engine, state));
+    }
+
+    private void onUnconfirmedExpired(ActiveRequest active, long engine, UnconfirmedState state) {
+        // Once the request has its answer, or a stream is under way, the repeated releases follow.
+        if (active.unconfirmedStates.get(engine) != state || active.answered || active.winner != null) return;
+        List<ActiveRequest.Attempt> reads = active.readsInFlight();
+        reads.forEach(read -> state.lease().renew(read.provenInFlightMs(answerTimes)));
+        if (loop.nowMs() < state.lease().expiresMs()) {
+            loop.schedule(state.lease().expiresMs(), () -> onUnconfirmedExpired(active, engine, state));
+            return;
+        }
+        addUnconfirmed(active, engine, new StateLease(leaseTermMs, loop.nowMs()));
+        if (!reads.isEmpty()) logCallOff(active, engine);
+        reads.forEach(callOff);
+    }
+
+    private void logCallOff(ActiveRequest active, long engine) {
+        counters.count(Reason.READ_NOT_PROVEN);
+        if (!mayLog()) return;
+        log.accept("read of " + active.request.id() + " called off, as a state may be held at "
+                + Long.toHexString(engine) + ";" + active.history(loop.nowMs()));
+    }
+
+    /**
+     * Runs a task that may lead to a further attempt: at once, or, if the last read ended without an answer, once a
+     * release sent after it is answered, as a release that arrives later makes a further read useless. The wait is
+     * bounded; then the lease of the state that may be held limits the further read.
+     */
+    void afterRelease(ActiveRequest active, Runnable task) {
+        boolean released = active.lastAnsweredReleaseMs >= active.lastUnansweredReadMs;
+        if (released || active.answered || active.hasAttemptInFlight() || !active.leases.isEmpty()) {
+            task.run();
+            return;
+        }
+        active.releaseWaiters.add(task);
+        loop.schedule(loop.nowMs() + MAX_RELEASE_WAIT_MS, () -> {
+            if (active.releaseWaiters.remove(task)) task.run();
+        });
+    }
+
+    /**
+     * Whether a read has to be preceded by a release at its own reader, as an earlier read may leave a state: its
+     * answer proves that the reader runs. A read at a stopped reader would not be in flight, and the state pinned.
+     */
+    boolean mustReleaseBeforeRead(ActiveRequest active) {
+        boolean mayArise = active.possibleHolders.stream()
+                .anyMatch(engine -> active.latestAbortedReadEndMs(engine) >= loop.nowMs());
+        return (mayArise || !active.unconfirmedStates.isEmpty()) && !active.hasAttemptInFlight()
+                && active.leases.isEmpty();
+    }
+
+    /** Sends a release once, and reports whether the engine has answered it. */
+    void releaseBeforeRead(ActiveRequest active, long engine, Consumer<Boolean> onEnded) {
+        double startedMs = loop.nowMs();
+        transport.release(engine, active.request.id(), startedMs, result -> {
+            if (result.answered()) {
+                answerTimes.record(engine, loop.inputArrivedAfterMs());
+                onReleaseAnswered(active, engine, startedMs);
+            }
+            onEnded.accept(result.answered());
+        });
+    }
+
+    private void onReleaseAnswered(ActiveRequest active, long answering, double startedMs) {
+        active.lastAnsweredReleaseMs = Math.max(active.lastAnsweredReleaseMs, startedMs);
+        active.unconfirmedStates.entrySet().removeIf(entry -> {
+            if (entry.getValue().sinceMs() > startedMs) return false;
+            // A reader that answers itself runs, and has taken note of the end of its read. One that does not may be
+            // stopped in the middle of it.
+            boolean mayStillArise = answering != entry.getKey()
+                    && active.latestAbortedReadEndMs(entry.getKey()) >= startedMs;
+            if (mayStillArise) entry.getValue().lease().renew(startedMs);
+            return !mayStillArise;
+        });
+        if (active.lastAnsweredReleaseMs < active.lastUnansweredReadMs) return;
+        List<Runnable> waiters = List.copyOf(active.releaseWaiters);
+        active.releaseWaiters.clear();
+        waiters.forEach(Runnable::run);
+    }
+
     private void onLeaseExpired(ActiveRequest active, long engine, StateLease lease) {
         if (active.leases.get(engine) != lease) return;
         if (loop.nowMs() < lease.expiresMs()) {
@@ -130,7 +233,10 @@
         if (active.hasAttemptInFlight()) active.reclaimedEngines.add(engine);
         else if (loop.nowMs() > active.latestAbortedReadEndMs(engine)) active.possibleHolders.remove(engine);
         counters.count(reason);
-        if (lease != null) checkHoldTime(active, engine, lease);
+        if (lease != null) {
+            checkHoldTime(active, engine, lease);
+            addUnconfirmed(active, engine, lease);
+        }
         if (lease != null && reason != Reason.NO_LONGER_NEEDED) logRelease(active, engine, reason, lease);
         if (lease == null) logLateRelease(active, engine);
         sendRelease(active, engine, loop.nowMs() + RELEASE_RETRY_TERMS * leaseTermMs);
@@ -174,12 +280,19 @@
     }
 
     private void sendRelease(ActiveRequest active, long engine, double deadlineMs) {
-        String id = active.request.id();
         releasesInFlight++;
-        transport.release(engine, id, deadlineMs, result -> {
-            releasesInFlight--;
-            onReleaseEnded(id, engine, result);
-        });
+        newRelease(active, engine, deadlineMs,
+                (answering, startedMs) -> onReleaseAnswered(active, answering, startedMs), result -> {
+                    releasesInFlight--;
+                    onReleaseEnded(active.request.id(), engine, result);
+                }).start();
+    }
+
+    private StateRelease newRelease(ActiveRequest active, long engine, double deadlineMs,
+            StateRelease.FirstAnswerListener onAnswered,
+            Consumer<EngineTransport.ReleaseResult> onHolderDone) {
+        return new StateRelease(transport, loop, fleet, answerTimes, active, engine, deadlineMs, onAnswered,
+                onHolderDone);
     }
 
     private void onReleaseEnded(String id, long engine, EngineTransport.ReleaseResult result) {
@@ -210,8 +323,7 @@
         }
         loop.schedule(atMs, () -> {
             // A release frees everything that is held for the request, including the state of another reader.
-            boolean inUse = !active.answered && (active.hasAttemptInFlight() || !active.leases.isEmpty());
-            if (inUse) {
+            if (active.needsHeldStates()) {
                 logWithheld(active, engine);
             } else {
                 counters.count(Reason.LEFT_BY_CUT_READ);
@@ -225,9 +337,7 @@
      * Releases the states of an answered request while an attempt is in flight. Runs a task at each answered release.
      */
     void releaseWhileInFlight(ActiveRequest active, double deadlineMs, Runnable onAnswered) {
-        Map<Long, StateLease> leases = new LinkedHashMap<>(active.leases);
-        leases.keySet().forEach(engine -> transport.release(engine, active.request.id(), deadlineMs, result -> {
-            if (result.answered()) onAnswered.run();
-        }));
+        for (long engine : List.copyOf(active.leases.keySet()))
+            newRelease(active, engine, deadlineMs, (answering, startedMs) -> onAnswered.run(), result -> {}).start();
     }
 }
--- a/src/main/java/maplerail/net/Call.java
+++ b/src/main/java/maplerail/net/Call.java
@@ -45,6 +45,7 @@
     private long receivedBytes;
     private double lastReceivedMs;
     private boolean anyWritten;
+    private double writtenMs = Double.NaN;
     private boolean paused;
     private boolean reading;
     private boolean failurePending;
@@ -118,6 +119,11 @@
         return !anyWritten && !done;
     }
 
+    /** Returns when the last byte of the request was written, NaN before that. */
+    public double writtenMs() {
+        return writtenMs;
+    }
+
     /** Aborts the call; the handler is not notified any more. */
     public void abort() {
         if (done) return;
@@ -216,6 +222,7 @@
                 anyWritten = true;
             }
             connection.stream.getSinkChannel().suspendWrites();
+            writtenMs = pool.loop().nowMs();
         } catch (IOException e) {
             fail();
         }
--- a/src/main/java/maplerail/net/CallHandle.java
+++ b/src/main/java/maplerail/net/CallHandle.java
@@ -19,6 +19,11 @@
         return call.unsent();
     }
 
+    @Override
+    public double writtenMs() {
+        return call.writtenMs();
+    }
+
     @Override
     public void abort() {
         call.abort();
--- a/src/main/java/maplerail/policy/StateLease.java
+++ b/src/main/java/maplerail/policy/StateLease.java
@@ -37,6 +37,11 @@
         if (isEngineAnswer(outcome)) termStartMs = nowMs;
     }
 
+    /** Renews the lease, as an attempt is known to have been in flight at a running engine at that time. */
+    public void renew(double provenMs) {
+        termStartMs = Math.max(termStartMs, provenMs);
+    }
+
     /** When the term started: since then nothing proves that an attempt was in flight. */
     public double termStartMs() {
         return termStartMs;
--- a/src/test/java/maplerail/core/LostReadTest.java
+++ b/src/test/java/maplerail/core/LostReadTest.java
@@ -23,6 +23,7 @@
     private static final double FAR_FUTURE_MS = 1e9;
     private static final double STEP_MS = 10; // between two tested start times of a held state
     private static final double ABORT_DELAY_MS = 100; // from the send to the abort
+    private static final double RELEASES_ANSWERED_MS = 2; // two in a row precede a further read
     private static final double RELEASE_SLACK_MS = 300; // added to the limit by the protocol rules for sockets
 
     private final BrokerFixture fixture = new BrokerFixture();
@@ -123,6 +124,7 @@
         EngineTransport.AnswerListener read = startRead();
         fixture.loop.runUntil(sentMs + ABORT_DELAY_MS);
         abort(cause, read, new Router.Send(1, READER, FAR_FUTURE_MS));
+        fixture.loop.runUntil(fixture.loop.now + RELEASES_ANSWERED_MS);
         assertThat(fixture.listeners).hasSize(2);
         fixture.loop.runUntil(sentMs + 2 * ABORT_DELAY_MS);
         fixture.nextActions.add(new Router.Send(1, WRITER, FAR_FUTURE_MS));
