Split the unconfirmed states off HeldStates and give its log lines one limit

No behaviour changes: UnconfirmedStates takes the states that nobody reported, LimitedLog the check that stood before each line.

--- a/src/main/java/maplerail/core/AttemptRunner.java
+++ b/src/main/java/maplerail/core/AttemptRunner.java
@@ -29,6 +29,7 @@
     private final Relay relay;
     private final Router.Settings settings;
     private final HeldStates heldStates;
+    private final UnconfirmedStates unconfirmedStates;
     private final RepeatLog repeats;
     private final RuleMonitor monitor;
     private final ServiceCounters counters;
@@ -49,6 +50,7 @@
         this.relay = relay;
         this.settings = settings;
         this.heldStates = heldStates;
+        this.unconfirmedStates = heldStates.unconfirmed();
         this.repeats = new RepeatLog(settings.classes(), counters, log);
         this.monitor = monitor;
         this.counters = counters;
@@ -71,7 +73,7 @@
                 : active.deadlineMs;
         Reason verdict = checkSend(active, order.engine());
         if (verdict == Reason.ALLOWED && deadlineMs <= loop.nowMs()) verdict = Reason.DEADLINE_PASSED;
-        boolean releaseFirst = attempt.atReader && heldStates.mustReleaseBeforeRead(active);
+        boolean releaseFirst = attempt.atReader && unconfirmedStates.mustReleaseBeforeRead(active);
         active.attempts.add(attempt);
         if (verdict != Reason.ALLOWED) {
             withhold(attempt, verdict);
@@ -110,7 +112,7 @@
     /** Sends a read once its reader has answered a release; without an answer, the reader counts as unreachable. */
     private void sendAfterRelease(ActiveRequest.Attempt attempt, double deadlineMs, double startByMs) {
         attempt.handle = new AwaitingReleaseHandle();
-        heldStates.releaseBeforeRead(attempt.active, attempt.engine, answered -> {
+        unconfirmedStates.releaseBeforeRead(attempt.active, attempt.engine, answered -> {
             if (attempt.ended) return;
             attempt.awaitingRelease = false;
             if (!answered) finish(attempt, Outcome.UNREACHABLE, true, 0);
@@ -338,7 +340,7 @@
             registry.settle(active);
             List<Router.Ended> ends = List.copyOf(active.heldBackEnds);
             active.heldBackEnds.clear();
-            if (!ends.isEmpty()) heldStates.afterRelease(active, () -> ends.forEach(decisions::deliver));
+            if (!ends.isEmpty()) unconfirmedStates.afterRelease(active, () -> ends.forEach(decisions::deliver));
         }
     }
 }
--- a/src/main/java/maplerail/core/Broker.java
+++ b/src/main/java/maplerail/core/Broker.java
@@ -53,7 +53,7 @@
                 counters, failureLog, log);
         decisions = new DecisionLoop(router, loop, this::perform, runner::settle, log);
         runner.connect(decisions, this::onCallerDisconnected);
-        heldStates.connect(runner::callOff);
+        heldStates.unconfirmed().connect(runner::callOff);
     }
 
     /** Accepts a request. Its caller gets exactly one final answer in any case, unless it disconnects before. */
--- a/src/main/java/maplerail/core/HeldStates.java
+++ b/src/main/java/maplerail/core/HeldStates.java
@@ -10,9 +10,8 @@
 /**
  * Tracks and releases the states that engines hold, or may hold, for requests. Each state that a reader reported has a
  * {@link StateLease}. When the lease expires, the state is released whatever the decision module does, unless a
- * writer's answer has started. A state that may exist has a lease too, until a release is answered that was sent when
- * it could no longer come into being. If a read is in flight when that lease expires, the read is called off first, as
- * nothing proves that an engine has taken it. Releases are repeated for a while where an aborted read may leave a state.
+ * writer's answer has started. {@link UnconfirmedStates} tracks the others. Releases are repeated for a while where an
+ * aborted read may leave a state.
  */
 final class HeldStates {
     /** Why a state was released. */
@@ -24,9 +23,7 @@
         /** The lease expired without an answer from a writer. */
         LEASE_EXPIRED,
         /** An aborted read may have finished meanwhile. */
-        LEFT_BY_CUT_READ,
-        /** A read was called off because nothing proved that it was in flight while a state may have been held. */
-        READ_NOT_PROVEN
+        LEFT_BY_CUT_READ
     }
 
     /** How a release ended. */
@@ -42,8 +39,6 @@
     /** How long a release is retried, in lease terms: an engine that becomes reachable again still holds the state. */
     private static final double RELEASE_RETRY_TERMS = 4;
     private static final double LATE_RELEASE_ANSWER_MS = 100; // answers to releases that take longer are logged
-    /** Longest time for which a further attempt waits for the answer to a release. */
-    private static final double MAX_RELEASE_WAIT_MS = 100;
 
     private final EngineTransport transport;
     private final EventLoop loop;
@@ -52,11 +47,10 @@
     private final double leaseTermMs;
     private final RuleMonitor monitor;
     private final ServiceCounters counters;
-    private final Consumer<String> log;
-    private final LogRateLimiter logLimit;
+    private final LimitedLog log;
+    private final UnconfirmedStates unconfirmedStates;
     private int releasesInFlight;
     private int scheduledRepeats;
-    private Consumer<ActiveRequest.Attempt> callOff;
 
     HeldStates(EngineTransport transport, EventLoop loop, Fleet fleet, AnswerTimes answerTimes, double leaseTermMs,
             RuleMonitor monitor, ServiceCounters counters, Consumer<String> log) {
@@ -67,13 +61,13 @@
         this.leaseTermMs = leaseTermMs;
         this.monitor = monitor;
         this.counters = counters;
-        this.log = log;
-        this.logLimit = new LogRateLimiter(loop);
+        this.log = new LimitedLog(loop, log);
+        this.unconfirmedStates = new UnconfirmedStates(transport, loop, answerTimes, leaseTermMs, counters, this.log);
     }
 
-    /** Sets the action that calls off a read. */
-    void connect(Consumer<ActiveRequest.Attempt> onCallOff) {
-        callOff = onCallOff;
+    /** The states that may be held although no reader reported them or although they were released. */
+    UnconfirmedStates unconfirmed() {
+        return unconfirmedStates;
     }
 
     /**
@@ -90,18 +84,16 @@
     /** A read has ended without an answer: its state may be held, for an unknown time. */
     void onReadUnanswered(ActiveRequest active, ActiveRequest.Attempt read) {
         active.possibleHolders.add(read.engine);
-        active.lastUnansweredReadMs = loop.nowMs();
-        addUnconfirmed(active, read.engine, new StateLease(leaseTermMs, loop.nowMs()));
-        if (!mayLog()) return;
-        log.accept("read of " + active.request.id() + " at " + Long.toHexString(read.engine) + " ended " + read.outcome
+        unconfirmedStates.onReadUnanswered(active, read);
+        log.write(() -> "read of " + active.request.id() + " at " + Long.toHexString(read.engine) + " ended "
+                + read.outcome
                 + " after " + Math.round(loop.nowMs() - read.sentMs) + " ms, " + read.handle.trace());
     }
 
     /** An attempt has ended. An answer from its engine proves that the attempt was in flight until now. */
     void onAttemptEnded(ActiveRequest active, Router.Outcome outcome) {
         active.leases.values().forEach(lease -> lease.onAttemptEnded(outcome, loop.inputArrivedAfterMs()));
-        active.unconfirmedStates.values()
-                .forEach(state -> state.lease().onAttemptEnded(outcome, loop.inputArrivedAfterMs()));
+        unconfirmedStates.onAttemptEnded(active, outcome);
         if (active.hasAttemptInFlight()) return;
         // If the write did arrive, its reader keeps the state for it: the lease starts when the write ends.
         if (outcome != Router.Outcome.STATE_GONE)
@@ -117,90 +109,6 @@
         active.reclaimedEngines.clear();
     }
 
-    private void addUnconfirmed(ActiveRequest active, long engine, StateLease lease) {
-        UnconfirmedState state = new UnconfirmedState(lease, loop.nowMs());
-        active.unconfirmedStates.put(engine, state);
-        loop.schedule(lease.expiresMs(), () -> onUnconfirmedExpired(active, engine, state));
-    }
-
-    private void onUnconfirmedExpired(ActiveRequest active, long engine, UnconfirmedState state) {
-        // Once the request has its answer, or a stream is under way, the repeated releases follow.
-        if (active.unconfirmedStates.get(engine) != state || active.answered || active.winner != null) return;
-        List<ActiveRequest.Attempt> reads = active.readsInFlight();
-        reads.forEach(read -> state.lease().renew(read.provenInFlightMs(answerTimes)));
-        if (loop.nowMs() < state.lease().expiresMs()) {
-            loop.schedule(state.lease().expiresMs(), () -> onUnconfirmedExpired(active, engine, state));
-            return;
-        }
-        addUnconfirmed(active, engine, new StateLease(leaseTermMs, loop.nowMs()));
-        if (!reads.isEmpty()) logCallOff(active, engine);
-        reads.forEach(callOff);
-    }
-
-    private void logCallOff(ActiveRequest active, long engine) {
-        counters.count(Reason.READ_NOT_PROVEN);
-        if (!mayLog()) return;
-        log.accept("read of " + active.request.id() + " called off, as a state may be held at "
-                + Long.toHexString(engine) + ";" + active.history(loop.nowMs()));
-    }
-
-    /**
-     * Runs a task that may lead to a further attempt: at once, or, if the last read ended without an answer, once a
-     * release sent after it is answered, as a release that arrives later makes a further read useless. The wait is
-     * bounded; then the lease of the state that may be held limits the further read.
-     */
-    void afterRelease(ActiveRequest active, Runnable task) {
-        boolean released = active.lastAnsweredReleaseMs >= active.lastUnansweredReadMs;
-        if (released || active.answered || active.hasAttemptInFlight() || !active.leases.isEmpty()) {
-            task.run();
-            return;
-        }
-        active.releaseWaiters.add(task);
-        loop.schedule(loop.nowMs() + MAX_RELEASE_WAIT_MS, () -> {
-            if (active.releaseWaiters.remove(task)) task.run();
-        });
-    }
-
-    /**
-     * Whether a read has to be preceded by a release at its own reader, as an earlier read may leave a state: its
-     * answer proves that the reader runs. A read at a stopped reader would not be in flight, and the state pinned.
-     */
-    boolean mustReleaseBeforeRead(ActiveRequest active) {
-        boolean mayArise = active.possibleHolders.stream()
-                .anyMatch(engine -> active.latestAbortedReadEndMs(engine) >= loop.nowMs());
-        return (mayArise || !active.unconfirmedStates.isEmpty()) && !active.hasAttemptInFlight()
-                && active.leases.isEmpty();
-    }
-
-    /** Sends a release once, and reports whether the engine has answered it. */
-    void releaseBeforeRead(ActiveRequest active, long engine, Consumer<Boolean> onEnded) {
-        double startedMs = loop.nowMs();
-        transport.release(engine, active.request.id(), startedMs, result -> {
-            if (result.answered()) {
-                answerTimes.record(engine, loop.inputArrivedAfterMs());
-                onReleaseAnswered(active, engine, startedMs);
-            }
-            onEnded.accept(result.answered());
-        });
-    }
-
-    private void onReleaseAnswered(ActiveRequest active, long answering, double startedMs) {
-        active.lastAnsweredReleaseMs = Math.max(active.lastAnsweredReleaseMs, startedMs);
-        active.unconfirmedStates.entrySet().removeIf(entry -> {
-            if (entry.getValue().sinceMs() > startedMs) return false;
-            // A reader that answers itself runs, and has taken note of the end of its read. One that does not may be
-            // stopped in the middle of it.
-            boolean mayStillArise = answering != entry.getKey()
-                    && active.latestAbortedReadEndMs(entry.getKey()) >= startedMs;
-            if (mayStillArise) entry.getValue().lease().renew(startedMs);
-            return !mayStillArise;
-        });
-        if (active.lastAnsweredReleaseMs < active.lastUnansweredReadMs) return;
-        List<Runnable> waiters = List.copyOf(active.releaseWaiters);
-        active.releaseWaiters.clear();
-        waiters.forEach(Runnable::run);
-    }
-
     private void onLeaseExpired(ActiveRequest active, long engine, StateLease lease) {
         if (active.leases.get(engine) != lease) return;
         if (loop.nowMs() < lease.expiresMs()) {
@@ -235,7 +143,7 @@
         counters.count(reason);
         if (lease != null) {
             checkHoldTime(active, engine, lease);
-            addUnconfirmed(active, engine, lease);
+            unconfirmedStates.add(active, engine, lease);
         }
         if (lease != null && reason != Reason.NO_LONGER_NEEDED) logRelease(active, engine, reason, lease);
         if (lease == null) logLateRelease(active, engine);
@@ -251,38 +159,30 @@
     }
 
     private void logRelease(ActiveRequest active, long engine, Reason reason, StateLease lease) {
-        if (!mayLog()) return;
-        log.accept("state of " + active.request.id() + " at " + Long.toHexString(engine) + " released (" + reason
+        log.write(() -> "state of " + active.request.id() + " at " + Long.toHexString(engine) + " released (" + reason
                 + ") after " + Math.round(loop.nowMs() - lease.termStartMs()) + " ms;" + active.history(loop.nowMs()));
     }
 
     /**
-     * Logs a late first release after an aborted read. The state that such a read may leave has no lease and is not
-     * released before the attempts that followed have ended.
+     * Logs a late first release after an aborted read, whose state may have been held since.
      */
     private void logLateRelease(ActiveRequest active, long engine) {
         double sinceAbortMs = loop.nowMs() - active.abortedReadTimesMs.getOrDefault(engine, loop.nowMs());
-        if (sinceAbortMs <= leaseTermMs || !mayLog()) return;
-        log.accept("release of " + active.request.id() + " at " + Long.toHexString(engine) + " first sent "
+        if (sinceAbortMs <= leaseTermMs) return;
+        log.write(() -> "release of " + active.request.id() + " at " + Long.toHexString(engine) + " first sent "
                 + Math.round(sinceAbortMs) + " ms after its read was aborted;" + active.history(loop.nowMs()));
     }
 
     private void logWithheld(ActiveRequest active, long engine) {
         counters.count(Release.WITHHELD);
-        if (!mayLog()) return;
-        log.accept("release of " + active.request.id() + " at " + Long.toHexString(engine) + " withheld, "
+        log.write(() -> "release of " + active.request.id() + " at " + Long.toHexString(engine) + " withheld, "
                 + active.leases.size() + " states reported;" + active.history(loop.nowMs()));
     }
 
-    private boolean mayLog() {
-        logLimit.rollWindow(); // the number of dropped lines follows from the counters
-        return logLimit.tryAcquire();
-    }
-
     private void sendRelease(ActiveRequest active, long engine, double deadlineMs) {
         releasesInFlight++;
         newRelease(active, engine, deadlineMs,
-                (answering, startedMs) -> onReleaseAnswered(active, answering, startedMs), result -> {
+                (answering, startedMs) -> unconfirmedStates.onReleaseAnswered(active, answering, startedMs), result -> {
                     releasesInFlight--;
                     onReleaseEnded(active.request.id(), engine, result);
                 }).start();
@@ -299,8 +199,8 @@
         boolean late = result.durationMs() > LATE_RELEASE_ANSWER_MS;
         Release kind = late ? Release.ANSWERED_LATE : Release.ANSWERED;
         counters.count(result.answered() ? kind : Release.NEVER_ANSWERED);
-        if (result.answered() && !late || !mayLog()) return;
-        log.accept("release of " + id + " at " + Long.toHexString(engine) + (result.answered() ? "" : " not")
+        if (result.answered() && !late) return;
+        log.write(() -> "release of " + id + " at " + Long.toHexString(engine) + (result.answered() ? "" : " not")
                 + " answered, " + result.tries() + " tries in " + Math.round(result.durationMs()) + " ms");
     }
 
