--- a/src/main/java/maplerail/core/UnconfirmedStates.java
+++ b/src/main/java/maplerail/core/UnconfirmedStates.java
@@ -17,6 +17,11 @@
         READ_NOT_PROVEN
     }
 
+    /** How a release before a read ended; without an answer the read is not sent. */
+    private enum ReleaseBeforeRead {
+        ANSWERED, NOT_ANSWERED
+    }
+
     /** Longest time for which a further attempt waits for the answer to a release. */
     private static final double MAX_RELEASE_WAIT_MS = 100;
 
@@ -114,6 +119,7 @@
     void releaseBeforeRead(ActiveRequest active, long engine, Consumer<Boolean> onEnded) {
         double startedMs = loop.nowMs();
         transport.release(engine, active.request.id(), startedMs, result -> {
+            counters.count(result.answered() ? ReleaseBeforeRead.ANSWERED : ReleaseBeforeRead.NOT_ANSWERED);
             if (result.answered()) {
                 answerTimes.record(engine, loop.inputArrivedAfterMs());
                 onReleaseAnswered(active, engine, startedMs);
