--- a/src/test/java/maplerail/soak/FaultSoakIT.java
+++ b/src/test/java/maplerail/soak/FaultSoakIT.java
@@ -31,6 +31,12 @@
         assertThat(FaultSoak.runSeed(7005, SECONDS, GATEWAYS, ENGINE_TROUBLES, FOLDER)).isZero();
     }
 
+    @Test
+    void noRuleIsBrokenWhileReadersStopAndReadsBreak() throws Exception {
+        List<Trouble> troubles = List.of(Trouble.READERS_STOP, Trouble.CONNECTIONS_RESET, Trouble.ROLLING_RESTART);
+        assertThat(FaultSoak.runSeed(8904, SECONDS, GATEWAYS, troubles, FOLDER)).isZero();
+    }
+
     @Test
     void noRuleIsBrokenWhileWritersStopAndGatewaysEnd() throws Exception {
         List<Trouble> troubles = List.of(Trouble.WRITERS_STOP, Trouble.ROLLING_RESTART);
