--- a/src/main/java/maplerail/policy/StateLease.java
+++ b/src/main/java/maplerail/policy/StateLease.java
@@ -37,7 +37,10 @@
         if (isEngineAnswer(outcome)) termStartMs = nowMs;
     }
 
-    /** Renews the lease, as an attempt is known to have been in flight at a running engine at that time. */
+    /**
+     * Renews the lease, as at that time an attempt is known to have been in flight at a running engine, or nothing was
+     * held.
+     */
     public void renew(double provenMs) {
         termStartMs = Math.max(termStartMs, provenMs);
     }
