--- a/review/standins/Chunks.java
+++ b/review/standins/Chunks.java
@@ -50,7 +50,11 @@
         bodies.put("5000000000000002", Rig.TROUBLE ? half + "zz\r\n\r\n" : half + chunk(rest) + "0\r\n\r\n");
         // The very first length cannot be read: nothing of the body is left.
         bodies.put("5000000000000003", Rig.TROUBLE ? "zz\r\n\r\n" : whole + "0\r\n\r\n");
-        // The same in front of what looks like another request.
+        // The length is wrong: the data is longer than it says.
+        bodies.put("5000000000000005",
+                Rig.TROUBLE ? Integer.toHexString(Rig.BODY.length() - 40) + "\r\n" + Rig.BODY + "\r\n0\r\n\r\n"
+                        : whole + "0\r\n\r\n");
+        // A length that cannot be read in front of what looks like another request.
         bodies.put("5000000000000004",
                 Rig.TROUBLE ? half + "-1\r\n\r\n" + hidden : half + chunk(hidden) + "0\r\n\r\n");
 
