--- a/review/standins/Rig.java
+++ b/review/standins/Rig.java
@@ -449,7 +449,7 @@
     // ---- Gateways ----
 
     /** What a gateway is told beside its addresses; the defaults are the example of WIRE, with 2 gateways. */
-    static final class Settings {
+    static class Settings {
         int gateways = 2;
         int sockets = 512;
         int memoryMb = 192;
@@ -459,6 +459,18 @@
         String bookRepeat = "side_effect";
         String bookScope = "all";
         double warmAfterMs = 14_000;
+        double pinLimitMs = 500;
+        double connectTimeoutMs = 250;
+        int maxAttempts = 6;
+        /** For each class: the time added to the aim for each 1,000 prompt tokens, in microseconds. */
+        String aimUsPer1000Tokens = "[60000.0,40000.0]";
+        String memoryTokens = "[258943,168019]";
+
+        /** The request classes. */
+        String lanes() {
+            return lane("ask", deadlineMs, 1_000, "pure", "all", keyTtlMs, 2) + ","
+                    + lane("book", deadlineMs, 1_000, bookRepeat, bookScope, keyTtlMs, 6);
+        }
 
         String json() {
             return String.format(Locale.ROOT, "{\"balancers\":%d,\"zone\":0,\"tickMs\":4.0,\"discovery\":\"push\","
@@ -466,23 +478,24 @@
                     + "\"overShareWorth\":0.1,\"serviceType\":\"twostage\",\"parties\":[],"
                     + "\"localities\":[\"ub-east\",\"ub-west\"],\"shapes\":[\"prefill\",\"decode\"],"
                     + "\"clients\":{\"marksRetry\":false},\"stats\":{\"columns\":[],\"via\":\"off\"},"
-                    + "\"familyInfo\":{\"aimUsPer1000PromptTokens\":[60000.0,40000.0],\"earlyPairing\":false,"
-                    + "\"kindMemoryTokens\":[258943,168019],\"kindRole\":[\"read\",\"write\"],\"pinLimitMs\":500.0,"
+                    + "\"familyInfo\":{\"aimUsPer1000PromptTokens\":%s,\"earlyPairing\":false,"
+                    + "\"kindMemoryTokens\":%s,\"kindRole\":[\"read\",\"write\"],\"pinLimitMs\":%.1f,"
                     + "\"readInPlace\":false,\"resume\":false,\"tokenAimMs\":[50.0,60.0],\"transferPrice\":0.04},"
-                    + "\"lanes\":[%s,%s],\"limits\":{\"cancel\":true,\"connIdleMs\":%.1f,\"connectTimeoutMs\":250.0,"
+                    + "\"lanes\":[%s],\"limits\":{\"cancel\":true,\"connIdleMs\":%.1f,\"connectTimeoutMs\":%.1f,"
                     + "\"cpuUsPerRequest\":0.0,\"cpuUsPerS\":500000,\"maxOpen\":20000,\"maxRetryAfterMs\":1000.0,"
                     + "\"maxStreams\":32,\"mayProbe\":false,\"mayTell\":false,\"retryAfter\":true,"
-                    + "\"secondCopies\":false,\"sendCap\":6},"
+                    + "\"secondCopies\":false,\"sendCap\":%d},"
                     + "\"prices\":{\"crossZone\":0.02,\"lateFail\":0.034,\"waste\":0.093},"
                     + "\"rules\":{\"answerSlackMs\":16.0,\"drainGraceMs\":250.0,\"mustAskInMs\":10000.0,"
                     + "\"overloadForMs\":2000.0,\"startCapacity\":0.25,\"tipMultiple\":2.5,\"warmAfterMs\":%.1f}}",
-                    gateways, lane("ask", "pure", "all"), lane("book", bookRepeat, bookScope), connIdleMs, warmAfterMs);
+                    gateways, aimUsPer1000Tokens, memoryTokens, pinLimitMs, lanes(), connIdleMs, connectTimeoutMs, maxAttempts, warmAfterMs);
         }
 
-        private String lane(String name, String repeat, String scope) {
-            return String.format(Locale.ROOT, "{\"name\":\"%s\",\"goalTimeMs\":1000.0,\"deadlineMs\":%.1f,"
+        static String lane(String name, double deadlineMs, double goalMs, String repeat, String scope, double keyTtlMs,
+                double worth) {
+            return String.format(Locale.ROOT, "{\"name\":\"%s\",\"goalTimeMs\":%.1f,\"deadlineMs\":%.1f,"
                     + "\"repeat\":\"%s\",\"keyScope\":\"%s\",\"keyTtlMs\":%.1f,\"lateShare\":0.2,\"stream\":true,"
-                    + "\"worth\":%.1f}", name, deadlineMs, repeat, scope, keyTtlMs, name.equals("ask") ? 2.0 : 6.0);
+                    + "\"worth\":%.1f}", name, goalMs, deadlineMs, repeat, scope, keyTtlMs, worth);
         }
     }
 
