--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -5,4 +5,4 @@
     echo "not built: run the build command of deploy/balancer.toml and review/build.sh"
     exit 2
 fi
-exec java -Xmx512m -cp review/out RunCase Crowd review/2/record.txt
+exec java -Xmx512m -cp review/out RunCase Bodies review/2/record.txt
