Count unfinished bodies over all connections, and read them by turns

Cause: the bytes of requests that have not arrived in full were held without a limit over all connections, up to 1 MB each, and one connection could keep the I/O thread as long as its bytes came.

Fix: ClientMemory counts these bytes against 40% of the heap; MemoryLimits (policy) has the rule. At the limit the incomplete request that has been quiet for longest is refused with 503. BodyReader reads 64 KiB a turn into recycled segments; a body over 256 KiB is let go and answered at that moment, an invalid head before its body has arrived. A rejected request is read on slowly, so that its client sees the answer, and closed after 2.5 s. So neither the heap nor the thread can be taken by one form of client.

--- a/src/main/java/maplerail/cli/Gateway.java
+++ b/src/main/java/maplerail/cli/Gateway.java
@@ -19,6 +19,7 @@
 import maplerail.core.Quotas;
 import maplerail.core.Broker;
 import maplerail.core.Budgets;
+import maplerail.core.ClientMemory;
 import maplerail.core.Lifecycle;
 import maplerail.core.Lifecycle.Phase;
 import maplerail.discovery.PlatformWatch;
@@ -29,6 +30,7 @@
 import maplerail.net.EngineClient;
 import maplerail.net.ConnectionPool;
 import maplerail.net.XnioLoop;
+import maplerail.policy.MemoryLimits;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.xnio.ChannelListeners;
@@ -49,6 +51,8 @@
     private static final double CONFIRM_TIMEOUT_MS = 500; // for the local discovery agent to report changes
     private static final int BUFFER_BYTES = 8 * 1024;
     private static final int MAX_HEAD_BYTES = 16 * 1024; // of a request
+    /** Percentage of the heap for what is held for clients; the rest is for everything else and for the collector. */
+    private static final int CLIENT_MEMORY_PERCENT = 40;
     // Shares of the file descriptors; what remains is for connections to engines.
     private static final int HTTP_CLIENT_PERCENT = 55; // for clients of the HTTP front
     private static final int RPC_CLIENT_PERCENT = 10; // for clients of the JSON-RPC front
@@ -63,6 +67,7 @@
     private final XnioLoop loop;
     private final ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES, 512, 0);
     private final Broker broker;
+    private final ClientMemory memory;
     private final EngineClient engines;
     private final PlatformFront httpFront;
     private final PlatformWatch watch;
@@ -102,7 +107,9 @@
         broker = new Broker(new Logic(settings), settings, quotas, loop, engines, log);
         double longestDeadlineMs = settings.classes().stream().mapToDouble(Router.RequestClass::deadlineMs).max()
                 .orElse(0);
-        httpFront = new PlatformFront(broker, config.names(), lifecycle, loop, longestDeadlineMs);
+        memory = new ClientMemory(
+                new MemoryLimits(Runtime.getRuntime().maxMemory() / 100 * CLIENT_MEMORY_PERCENT), loop, log);
+        httpFront = new PlatformFront(broker, config.names(), lifecycle, loop, memory, longestDeadlineMs);
         watch = new PlatformWatch(pool, loop, config.discovery(), config.names(), settings.nodeCount(),
                 settings.seed(), this::updateEngines);
         tools = toolsEnabled
@@ -275,6 +282,7 @@
         if (rpcFront != null) rpcFront.close();
         lifecycle.moveTo(Phase.STOPPED);
         broker.counters().logChanges();
+        LOG.info("memory for clients: {}", memory.describe());
         LOG.info("drained; releases not answered: {}", broker.pendingReleases());
         stopped.countDown();
     }
--- a/src/main/java/maplerail/front/ClientListener.java
+++ b/src/main/java/maplerail/front/ClientListener.java
@@ -21,6 +21,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.xnio.ChannelListener;
+import org.xnio.ChannelListeners;
 import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
 import org.xnio.conduits.StreamSourceConduit;
@@ -59,16 +60,17 @@
     private static final int FULL_DIVISOR = 32;
 
     /**
-     * State of a connection: new and without a byte yet, receiving a request, with a request that waits to be handled,
-     * with a request in flight, idle between requests, or taken over by another protocol.
+     * State of a connection: new and without a byte yet, receiving a request, receiving the rest of one that has been
+     * rejected, with a request that waits to be handled, with a request in flight, idle between requests, or taken over
+     * by another protocol.
      */
-    private enum State { SILENT, RECEIVING, QUEUED, IN_FLIGHT, IDLE, UPGRADED }
+    private enum State { SILENT, RECEIVING, REJECTED, QUEUED, IN_FLIGHT, IDLE, UPGRADED }
 
     private static final Set<State> ACTIVE_STATES = EnumSet.of(State.RECEIVING, State.QUEUED, State.IN_FLIGHT);
 
     /** Why the gateway closed a client's connection, or kept it open after all. */
     private enum Closed {
-        SAID_NOTHING, REQUEST_INCOMPLETE, IDLE_TOO_LONG, ROOM_SHORT, SHUTTING_DOWN, HEARD_IN_TIME
+        SAID_NOTHING, REQUEST_INCOMPLETE, REJECTED_REQUEST_INCOMPLETE, IDLE_TOO_LONG, ROOM_SHORT, SHUTTING_DOWN, HEARD_IN_TIME
     }
 
     private final ChannelListener<StreamConnection> httpListener;
@@ -89,6 +91,8 @@
         /** When the last bytes were read, and how long the current request may take while more keep arriving. */
         double lastByteMs;
         double receiveTimeoutMs = RECEIVE_TIMEOUT_MS;
+        /** Lets go of what is held for the current request when the connection is closed. */
+        Runnable closeAction = () -> {};
 
         /** Since when it has been in its state without a byte from its client. */
         double quietSinceMs() {
@@ -143,6 +147,17 @@
         if (!checkScheduled) loop.schedule(loop.nowMs() + CHECK_INTERVAL_MS, this::checkConnections);
         checkScheduled = true;
         httpListener.handleEvent(connection);
+        runWhenClosed(connection, client);
+    }
+
+    /** Runs the close action of a connection once it is closed, in addition to the HTTP server's own listener. */
+    private static void runWhenClosed(StreamConnection connection, ClientConnection client) {
+        ChannelListener<? super StreamConnection> serverListener = connection.getCloseListener();
+        connection.setCloseListener(closed -> {
+            client.closeAction.run();
+            ChannelListeners.invokeChannelListener(closed, serverListener);
+        });
+        if (!connection.isOpen()) client.closeAction.run();
     }
 
     /** Records that bytes were read: a connection on which a request is arriving does not count as idle. */
@@ -167,6 +182,7 @@
         if (starting != null) onRequestStarted(starting);
         exchange.addExchangeCompleteListener((completed, proceed) -> {
             setState(completed, State.IDLE);
+            setCloseAction(completed, () -> {});
             ClientConnection client = find(completed);
             if (client != null) onRequestCompleted(client, completed);
             proceed.proceed();
@@ -207,6 +223,17 @@
         if (client != null) client.receiveTimeoutMs = Math.max(RECEIVE_TIMEOUT_MS, budgetMs);
     }
 
+    /** Sets what is run when the connection is closed before the request's exchange is complete. */
+    public void setCloseAction(HttpServerExchange exchange, Runnable action) {
+        ClientConnection client = find(exchange);
+        if (client != null) client.closeAction = action;
+    }
+
+    /** Records that a request is answered before it is complete: for a while, its client may send the rest. */
+    public void onRejected(HttpServerExchange exchange) {
+        setState(exchange, State.REJECTED);
+    }
+
     /** Records that a request is complete: its connection stays open until it is answered. */
     public void onRequestReceived(HttpServerExchange exchange) {
         setState(exchange, State.IN_FLIGHT);
@@ -239,7 +266,7 @@
         clients.forEach((connection, client) -> {
             double ageMs = nowMs - client.sinceMs;
             boolean timedOut = switch (client.state) {
-                case SILENT -> ageMs >= RECEIVE_TIMEOUT_MS;
+                case SILENT, REJECTED -> ageMs >= RECEIVE_TIMEOUT_MS;
                 case RECEIVING -> ageMs >= client.receiveTimeoutMs
                         || ageMs >= RECEIVE_TIMEOUT_MS && nowMs - client.lastByteMs >= STALL_TIMEOUT_MS;
                 case IDLE -> ageMs >= IDLE_TIMEOUT_MS;
@@ -286,6 +313,7 @@
         return switch (state) {
             case SILENT -> Closed.SAID_NOTHING;
             case RECEIVING -> Closed.REQUEST_INCOMPLETE;
+            case REJECTED -> Closed.REJECTED_REQUEST_INCOMPLETE;
             default -> Closed.IDLE_TOO_LONG;
         };
     }
@@ -303,7 +331,7 @@
     }
 
     /**
-     * While few slots are free, closes silent connections, then idle ones. While no slot is free, closes all that are
+     * While few slots are free, closes connections of rejected requests, silent connections, then idle ones. While no slot is free, closes all that are
      * silent or have stalled within a request: requests may wait behind them in the kernel's backlog, and their
      * deadlines are running.
      */
@@ -311,8 +339,9 @@
         int excess = clients.size() - (maxConnections - maxConnections / RESERVED_DIVISOR);
         if (excess <= 0) return;
         boolean full = clients.size() >= maxConnections - maxConnections / FULL_DIVISOR;
-        int closed = full ? closeLongestQuiet(State.SILENT, FULL_SILENT_TIMEOUT_MS, clients.size(), nowMs)
-                : closeLongestQuiet(State.SILENT, SILENT_TIMEOUT_MS, excess, nowMs);
+        int closed = closeLongestQuiet(State.REJECTED, FULL_STALL_TIMEOUT_MS, excess, nowMs);
+        closed += full ? closeLongestQuiet(State.SILENT, FULL_SILENT_TIMEOUT_MS, clients.size(), nowMs)
+                : closeLongestQuiet(State.SILENT, SILENT_TIMEOUT_MS, excess - closed, nowMs);
         if (full) closed += closeLongestQuiet(State.RECEIVING, FULL_STALL_TIMEOUT_MS, clients.size(), nowMs);
         closeLongestQuiet(State.IDLE, full ? SILENT_TIMEOUT_MS : MIN_IDLE_MS, excess - closed, nowMs);
     }
--- a/src/main/java/maplerail/front/platform/HttpAnswer.java
+++ b/src/main/java/maplerail/front/platform/HttpAnswer.java
@@ -6,6 +6,7 @@
 import io.undertow.util.Headers;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.List;
 import java.util.Locale;
@@ -234,9 +235,24 @@
 
     void respond(int status, String message) {
         if (finished) return;
-        finish();
         exchange.setStatusCode(status);
         exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
-        exchange.getResponseSender().send("{\"error\":{\"message\":\"" + message + "\"}}\n");
+        String body = "{\"error\":{\"message\":\"" + message + "\"}}\n";
+        if (exchange.isRequestComplete()) {
+            finish();
+            exchange.getResponseSender().send(body);
+        } else {
+            respondBeforeRequestEnds(body.getBytes(StandardCharsets.UTF_8));
+        }
+    }
+
+    /** Writes a whole answer without waiting for the rest of the request, as the server's own sender would. */
+    private void respondBeforeRequestEnds(byte[] body) {
+        exchange.setResponseContentLength(body.length);
+        sink = exchange.getResponseChannel();
+        sink.getWriteSetter().set(channel -> writePending());
+        pendingChunks.add(ByteBuffer.wrap(body));
+        ending = true;
+        writePending();
     }
 }
--- a/src/main/java/maplerail/front/platform/PlatformFront.java
+++ b/src/main/java/maplerail/front/platform/PlatformFront.java
@@ -2,8 +2,6 @@
 
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
-import io.undertow.server.RequestTooBigException;
-import io.undertow.server.ServerConnection;
 import io.undertow.util.Headers;
 import io.undertow.util.Methods;
 import io.undertow.util.SameThreadExecutor;
@@ -11,6 +9,7 @@
 import maplerail.core.ServiceRequest;
 import maplerail.core.Broker;
 import maplerail.core.Caller;
+import maplerail.core.ClientMemory;
 import maplerail.core.Lifecycle;
 import maplerail.core.Lifecycle.Phase;
 import maplerail.core.EventLoop;
@@ -24,10 +23,13 @@
 public final class PlatformFront implements HttpHandler {
     /** The largest size of a request's body, in bytes. */
     public static final int MAX_BODY_BYTES = 256 * 1024;
+    private static final double YIELD_RETRY_MS = 500; // retry advice for a request that had to yield its memory
 
     private final Broker broker;
     private final RequestParser parser;
     private final Lifecycle lifecycle;
+    private final EventLoop loop;
+    private final ClientMemory memory;
     private final RequestThrottle throttle;
     /** The longest deadline of all classes; a request may take no longer to arrive, whatever its client asks for. */
     private final double maxDeadlineMs;
@@ -38,12 +40,16 @@
      * Creates a front.
      *
      * @param names the names of classes and tenants that clients use
+     * @param memory counts what is held for clients
      * @param maxDeadlineMs the longest deadline of all classes
      */
-    public PlatformFront(Broker broker, NameTables names, Lifecycle lifecycle, EventLoop loop, double maxDeadlineMs) {
+    public PlatformFront(Broker broker, NameTables names, Lifecycle lifecycle, EventLoop loop,
+            ClientMemory memory, double maxDeadlineMs) {
         this.broker = broker;
         this.parser = new RequestParser(names);
         this.lifecycle = lifecycle;
+        this.loop = loop;
+        this.memory = memory;
         this.throttle = new RequestThrottle(loop);
         this.maxDeadlineMs = maxDeadlineMs;
     }
@@ -66,63 +72,116 @@
 
     private void handle(HttpServerExchange exchange) {
         listener.onDequeued(exchange);
-        ServerConnection connection = exchange.getConnection();
         if (lifecycle.phase().isShuttingDown()) exchange.getResponseHeaders().put(Headers.CONNECTION, "close");
         HttpAnswer answer = new HttpAnswer(exchange, pipelined, broker.counters());
         if (exchange.getRequestURI().equals("/-/ready")) {
             answer.respond(lifecycle.phase() == Phase.READY ? 200 : 503, "");
-        } else if (exchange.getRequestURI().startsWith("/-/")) {
-            answer.respond(404, "no such path");
-        } else if (!exchange.getRequestMethod().equals(Methods.POST)) {
-            answer.respond(405, "POST only");
-        } else if (exchange.getRequestContentLength() > MAX_BODY_BYTES) {
-            exchange.setPersistent(false);
-            answer.respond(413, "the body is too large");
         } else {
-            extendReceiveTimeout(exchange);
-            // Chunked bodies are read somewhat beyond the limit: a client cut off within one would not see the answer.
-            exchange.setMaxEntitySize(4 * MAX_BODY_BYTES);
-            exchange.getRequestReceiver().receiveFullBytes(
-                    (received, body) -> received.dispatch(SameThreadExecutor.INSTANCE,
-                            () -> submit(received, answer, body)),
-                    (failed, error) -> {
-                        if (error instanceof RequestTooBigException) answer.respond(413, "the body is too large");
-                        else IoUtils.safeClose(connection);
-                    });
+            exchange.dispatch(SameThreadExecutor.INSTANCE, () -> new IncomingRequest(exchange, answer).start());
         }
     }
 
-    private void extendReceiveTimeout(HttpServerExchange exchange) {
-        try {
-            listener.extendReceiveTimeout(exchange, Math.min(maxDeadlineMs, RequestParser.budgetMs(exchange)));
-        } catch (RequestParser.BadRequest e) {
-            return; // reported once the body has arrived
+    /** A request whose body arrives. It is submitted once it is complete, unless it is rejected before. */
+    private final class IncomingRequest implements BodyReader.Listener {
+        private final HttpServerExchange exchange;
+        private final HttpAnswer answer;
+        private final BodyReader body;
+
+        IncomingRequest(HttpServerExchange exchange, HttpAnswer answer) {
+            this.exchange = exchange;
+            this.answer = answer;
+            this.body = new BodyReader(exchange, loop, memory, MAX_BODY_BYTES, this);
         }
-    }
 
-    private void submit(HttpServerExchange exchange, HttpAnswer answer, byte[] body) {
-        listener.onRequestReceived(exchange);
-        if (body.length > MAX_BODY_BYTES) {
-            answer.respond(413, "the body is too large");
-            return;
+        void start() {
+            listener.setCloseAction(exchange, body::close);
+            if (exchange.getRequestURI().startsWith("/-/")) {
+                reject(404, "no such path");
+            } else if (!exchange.getRequestMethod().equals(Methods.POST)) {
+                reject(405, "POST only");
+            } else if (exchange.getRequestContentLength() > MAX_BODY_BYTES) {
+                tooLarge();
+            } else {
+                extendReceiveTimeout();
+                body.start();
+            }
         }
-        ServiceRequest request;
-        try {
-            request = parser.parse(exchange, body, listener.earliestSentMs(exchange));
-        } catch (RequestParser.BadRequest e) {
-            answer.respond(400, e.getMessage());
-            return;
+
+        private void extendReceiveTimeout() {
+            try {
+                listener.extendReceiveTimeout(exchange, Math.min(maxDeadlineMs, RequestParser.budgetMs(exchange)));
+            } catch (RequestParser.BadRequest e) {
+                return; // reported once the first bytes of the body have been read
+            }
         }
-        // Guards against clients that keep using a connection which a long stream has kept open: a request taken now
-        // may outlast the time left for the shutdown, and a repeat is served by another gateway.
-        Reason verdict = ProtocolRules.checkAccept(!lifecycle.phase().acceptsRequests());
-        if (verdict != Reason.ALLOWED) {
-            broker.counters().count(verdict);
-            answer.refuse(Caller.Why.OVERLOAD, 0);
-            return;
+
+        private ServiceRequest parse(byte[] bodyBytes) throws RequestParser.BadRequest {
+            return parser.parse(exchange, bodyBytes, listener.earliestSentMs(exchange));
+        }
+
+        private void reject(int status, String message) {
+            beforeRejection();
+            answer.respond(status, message);
+        }
+
+        /** Reads on after the answer, so that the client gets it although it is still sending. */
+        private void beforeRejection() {
+            if (exchange.isRequestComplete()) return;
+            exchange.setPersistent(false);
+            listener.onRejected(exchange);
+            body.reject();
+        }
+
+        @Override
+        public void incomplete() {
+            try {
+                parse(new byte[0]);
+            } catch (RequestParser.BadRequest e) {
+                reject(400, e.getMessage());
+            }
+        }
+
+        @Override
+        public void tooLarge() {
+            reject(413, "the body is too large");
+        }
+
+        @Override
+        public void yielded() {
+            beforeRejection();
+            answer.refuse(Caller.Why.OVERLOAD, YIELD_RETRY_MS);
+        }
+
+        @Override
+        public void failed() {
+            IoUtils.safeClose(exchange.getConnection());
+        }
+
+        @Override
+        public void received(byte[] bodyBytes) {
+            listener.onRequestReceived(exchange);
+            ServiceRequest request;
+            try {
+                request = parse(bodyBytes);
+            } catch (RequestParser.BadRequest e) {
+                answer.respond(400, e.getMessage());
+                return;
+            }
+            submit(request);
+        }
+
+        private void submit(ServiceRequest request) {
+            // Guards against clients that keep using a connection which a long stream has kept open: a request taken now
+            // may outlast the time left for the shutdown, and a repeat is served by another gateway.
+            Reason verdict = ProtocolRules.checkAccept(!lifecycle.phase().acceptsRequests());
+            if (verdict != Reason.ALLOWED) {
+                broker.counters().count(verdict);
+                answer.refuse(Caller.Why.OVERLOAD, 0);
+                return;
+            }
+            // A client that has already left must be detected before its request is served.
+            answer.watchForDisconnect();
+            if (!answer.isFinished()) answer.setHandle(broker.submit(request, answer));
         }
-        // A client that has already left must be detected before its request is served.
-        answer.watchForDisconnect();
-        if (!answer.isFinished()) answer.setHandle(broker.submit(request, answer));
     }
 }
