Let go of payloads when streams start, and count those of open requests

Cause: the body was kept until the end of the stream by the request and by each attempt, there in a copy with the head, though nothing may be sent once a stream has started. Nothing counted these bytes.

Fix: the payload is let go at the first event or the final answer; Call writes head and body from two buffers and lets go of both once they are written; ClientMemory counts payloads of open requests, and one that there is no room for is refused (503) after incomplete requests have yielded.

--- a/src/main/java/maplerail/cli/Gateway.java
+++ b/src/main/java/maplerail/cli/Gateway.java
@@ -103,17 +103,18 @@
         engines = new EngineClient(pool);
         Router.Settings settings = config.settings();
         Consumer<String> log = line -> LOG.info("{}", line);
-        Quotas quotas = new Quotas(Budgets.withoutQuotas(config.connections().maxOpenRequests()), loop, log);
+        memory = new ClientMemory(
+                new MemoryLimits(Runtime.getRuntime().maxMemory() / 100 * CLIENT_MEMORY_PERCENT), loop, log);
+        Quotas quotas = new Quotas(Budgets.withoutQuotas(config.connections().maxOpenRequests()), loop, log, memory);
         broker = new Broker(new Logic(settings), settings, quotas, loop, engines, log);
         double longestDeadlineMs = settings.classes().stream().mapToDouble(Router.RequestClass::deadlineMs).max()
                 .orElse(0);
-        memory = new ClientMemory(
-                new MemoryLimits(Runtime.getRuntime().maxMemory() / 100 * CLIENT_MEMORY_PERCENT), loop, log);
         httpFront = new PlatformFront(broker, config.names(), lifecycle, loop, memory, longestDeadlineMs);
         watch = new PlatformWatch(pool, loop, config.discovery(), config.names(), settings.nodeCount(),
                 settings.seed(), this::updateEngines);
         tools = toolsEnabled
-                ? new ToolServices(toolsConfig, loop, buffers, settings.seed(), sockets * TOOL_SERVER_PERCENT / 100)
+                ? new ToolServices(toolsConfig, loop, buffers, memory, settings.seed(),
+                        sockets * TOOL_SERVER_PERCENT / 100)
                 : null;
         rpcFront = toolsEnabled ? new RpcFront(toolsConfig, tools.brokers(), broker, config.names(), lifecycle) : null;
         rpcListen = toolsEnabled ? toolsConfig.listen() : null;
--- a/src/main/java/maplerail/cli/ToolServices.java
+++ b/src/main/java/maplerail/cli/ToolServices.java
@@ -12,6 +12,7 @@
 import maplerail.config.ToolsConfig;
 import maplerail.core.Quotas;
 import maplerail.core.Broker;
+import maplerail.core.ClientMemory;
 import maplerail.discovery.ConsulWatch;
 import maplerail.net.ConnectionPool;
 import maplerail.net.ToolClient;
@@ -33,13 +34,13 @@
     private final Map<String, Broker> brokers = new TreeMap<>();
     private final Map<String, ToolClient> clients = new TreeMap<>();
 
-    ToolServices(ToolsConfig config, XnioLoop loop, io.undertow.connector.ByteBufferPool buffers, long seed,
-            int maxConnections) {
+    ToolServices(ToolsConfig config, XnioLoop loop, io.undertow.connector.ByteBufferPool buffers, ClientMemory memory,
+            long seed, int maxConnections) {
         this.config = config;
         this.loop = loop;
         this.pool = new ConnectionPool(loop, buffers, IDLE_TIMEOUT_MS, CONNECT_TIMEOUT_MS, maxConnections);
         Router.Settings settings = config.settings(seed);
-        Quotas quotas = new Quotas(config.budgets(MAX_OPEN_CALLS), loop, line -> LOG.info("{}", line));
+        Quotas quotas = new Quotas(config.budgets(MAX_OPEN_CALLS), loop, line -> LOG.info("{}", line), memory);
         for (String name : config.services().keySet()) {
             ToolClient client = new ToolClient(pool);
             clients.put(name, client);
--- a/src/main/java/maplerail/core/ActiveRequest.java
+++ b/src/main/java/maplerail/core/ActiveRequest.java
@@ -43,6 +43,7 @@
     final List<Router.Ended> heldBackEnds = new ArrayList<>();
     boolean admitted;
     boolean answered;
+    boolean payloadDiscarded;
     /** When a read was last aborted or reset, by engine. The engine may finish the read and hold its state. */
     final Map<Long, Double> abortedReadTimesMs = new LinkedHashMap<>();
     /** Engines to which releases are repeated because an aborted read may leave a state there. */
--- a/src/main/java/maplerail/core/AttemptRunner.java
+++ b/src/main/java/maplerail/core/AttemptRunner.java
@@ -176,6 +176,7 @@
             scheduleStallCheck(attempt, STREAM_STALL_TIMEOUT_MS);
             active.deadlineGuard.cancel();
             heldStates.onStreamStarted(active);
+            registry.discardPayload(active);
             decisions.deliver(new Router.FirstToken(active.number, attempt.number, attempt.engine,
                     loop.nowMs() - attempt.sentMs));
         }
--- a/src/main/java/maplerail/core/ClientMemory.java
+++ b/src/main/java/maplerail/core/ClientMemory.java
@@ -14,7 +14,9 @@
     /** What bytes are held for. */
     public enum Kind {
         /** Requests of which a part has arrived. */
-        INCOMPLETE_REQUEST
+        INCOMPLETE_REQUEST,
+        /** Complete requests whose payload may still be sent to an engine. */
+        OPEN_REQUEST
     }
 
     /** A request of which a part has arrived. */
@@ -43,11 +45,16 @@
         this.log = log;
     }
 
+    /** Creates an account without limits. */
+    public static ClientMemory unlimited(EventLoop loop) {
+        return new ClientMemory(new MemoryLimits(Long.MAX_VALUE), loop, line -> {});
+    }
+
     /** Adds bytes of an incomplete request that have just arrived, and makes others yield, or this one, if need be. */
     public void addIncomplete(IncompleteRequest request, int bytes) {
         incompleteRequests.merge(request, bytes, Integer::sum);
         add(Kind.INCOMPLETE_REQUEST, bytes);
-        makeRoom();
+        makeRoom(0);
     }
 
     /** Stops counting a request as incomplete: it has arrived, or its bytes were let go. */
@@ -56,14 +63,30 @@
         if (bytes != null) add(Kind.INCOMPLETE_REQUEST, -bytes);
     }
 
+    /** Returns whether a complete request may be held; incomplete requests yield before it is refused. */
+    boolean hasRoomFor(int requestBytes) {
+        makeRoom(requestBytes);
+        boolean hasRoom = limits.mayHold(totalBytes, requestBytes);
+        if (!hasRoom) logLimitReached();
+        return hasRoom;
+    }
+
+    void addOpenRequest(int bytes) {
+        add(Kind.OPEN_REQUEST, bytes);
+    }
+
+    void removeOpenRequest(int bytes) {
+        add(Kind.OPEN_REQUEST, -bytes);
+    }
+
     private void add(Kind kind, long bytes) {
         heldBytes[kind.ordinal()] += bytes;
         totalBytes += bytes;
         peakBytes = Math.max(peakBytes, totalBytes);
     }
 
-    private void makeRoom() {
-        while (limits.mustIncompleteYield(held(Kind.INCOMPLETE_REQUEST), totalBytes)) {
+    private void makeRoom(int neededBytes) {
+        while (limits.mustIncompleteYield(held(Kind.INCOMPLETE_REQUEST), totalBytes, neededBytes)) {
             Iterator<IncompleteRequest> longestQuiet = incompleteRequests.keySet().iterator();
             IncompleteRequest yielding = longestQuiet.next();
             logLimitReached();
--- a/src/main/java/maplerail/core/Quotas.java
+++ b/src/main/java/maplerail/core/Quotas.java
@@ -15,10 +15,12 @@
     private static final double LAG_CHECK_INTERVAL_MS = 20;
     private static final double MAX_LAG_MS = 150; // no new requests are admitted from this lag of the loop
     private static final double LAG_RETRY_MS = 500; // retry advice when the loop lags
+    private static final double MEMORY_RETRY_MS = 500; // retry advice when memory is short
 
     private final Budgets budgets;
     private final EventLoop loop;
     private final Consumer<String> log;
+    private final ClientMemory memory;
     private final Map<Integer, Account> accounts = new HashMap<>();
     private int openRequests;
     private boolean checkingLag;
@@ -33,8 +35,18 @@
     /** Why a request is not admitted, and after how long it may be retried. */
     record Denial(Why reason, double retryAfterMs) {}
 
-    /** Creates quotas for these budgets. Logs when the loop lags too far to admit new requests. */
+    /** Creates quotas for these budgets, with no limit on memory. */
     public Quotas(Budgets budgets, EventLoop loop, Consumer<String> log) {
+        this(budgets, loop, log, ClientMemory.unlimited(loop));
+    }
+
+    /**
+     * Creates quotas for these budgets. Logs when the loop lags too far to admit new requests.
+     *
+     * @param memory counts what is held for clients
+     */
+    public Quotas(Budgets budgets, EventLoop loop, Consumer<String> log, ClientMemory memory) {
+        this.memory = memory;
         this.budgets = budgets;
         this.loop = loop;
         this.log = log;
@@ -48,10 +60,12 @@
         }
         if (lagMs >= MAX_LAG_MS) return new Denial(Why.OVERLOAD, LAG_RETRY_MS);
         if (openRequests >= budgets.maxOpen()) return new Denial(Why.OVERLOAD, IN_FLIGHT_RETRY_MS);
+        if (!memory.hasRoomFor(request.payloadBytes())) return new Denial(Why.OVERLOAD, MEMORY_RETRY_MS);
         if (request.tenant() < budgets.teams().size()) {
             Denial denial = charge(budgets.teams().get(request.tenant()), accountOf(request.tenant()));
             if (denial != null) return denial;
         }
+        memory.addOpenRequest(request.payloadBytes());
         openRequests++;
         if (!checkingLag) checkLag(0);
         return null;
@@ -85,6 +99,11 @@
         return null;
     }
 
+    /** Records that the payload of an admitted request is no longer held. */
+    void onPayloadDiscarded(ServiceRequest request) {
+        memory.removeOpenRequest(request.payloadBytes());
+    }
+
     void onRequestClosed(ServiceRequest request) {
         openRequests--;
         if (request.tenant() < budgets.teams().size()) accountOf(request.tenant()).inFlight--;
--- a/src/main/java/maplerail/core/RequestRegistry.java
+++ b/src/main/java/maplerail/core/RequestRegistry.java
@@ -63,10 +63,19 @@
         }
         unanswered--;
         if (active.deadlineGuard != null) active.deadlineGuard.cancel();
+        discardPayload(active);
         if (active.admitted) quotas.onRequestClosed(active.request);
         return true;
     }
 
+    /** Lets go of a request's payload: its stream has started or it is answered, so that no attempt follows. */
+    void discardPayload(ActiveRequest active) {
+        if (active.payloadDiscarded) return;
+        active.payloadDiscarded = true;
+        if (active.request.payload() != null) active.request.payload().discard();
+        if (active.admitted) quotas.onPayloadDiscarded(active.request);
+    }
+
     /**
      * Releases states that are no longer needed, such as those that aborted reads may have left, and removes the request
      * if it is done. Called when attempts have ended.
--- a/src/main/java/maplerail/net/Call.java
+++ b/src/main/java/maplerail/net/Call.java
@@ -24,13 +24,17 @@
 
     private final ConnectionPool pool;
     private final Supplier<ClientRequest> requestSupplier;
-    private final byte[] body;
+    /** Null once it has been written or the call is done. */
+    private byte[] body;
     private final BooleanSupplier mayStart;
     private final ResponseHandler handler;
     private final ResponseParser parser;
     private final boolean urgent;
-    /** Head and body of the request; null until there is a connection to write them to. */
-    private ByteBuffer outgoing;
+    /** Head and body of the request; null until there is a connection, and once they are no longer needed. */
+    private ByteBuffer[] outgoing;
+    /** Size of head and body; 0 until there is a connection to write them to. */
+    private long requestBytes;
+    private long writtenBytes;
     private PooledConnection connection;
     private Runnable cancelConnect;
     private EventLoop.ScheduledTask timeout;
@@ -77,7 +81,7 @@
         return urgent;
     }
 
-    private static ByteBuffer encode(ClientRequest request, byte[] body) {
+    private static ByteBuffer encodeHead(ClientRequest request) {
         StringBuilder head = new StringBuilder(512).append(request.getMethod()).append(' ').append(request.getPath())
                 .append(" HTTP/1.1\r\n");
         for (HeaderValues values : request.getRequestHeaders()) {
@@ -85,8 +89,7 @@
                 head.append(values.getHeaderName()).append(": ").append(value).append("\r\n");
             }
         }
-        byte[] headBytes = head.append("\r\n").toString().getBytes(StandardCharsets.ISO_8859_1);
-        return ByteBuffer.allocate(headBytes.length + body.length).put(headBytes).put(body).flip();
+        return ByteBuffer.wrap(head.append("\r\n").toString().getBytes(StandardCharsets.ISO_8859_1));
     }
 
     /** Returns true if the head of a successful response has been received. */
@@ -103,9 +106,9 @@
      * Describes the progress for the log: what was written, on which kind of connection, and what has been received.
      */
     public String trace() {
-        String progress = outgoing == null ? "not written"
-                : "written " + outgoing.position() + " of " + outgoing.limit() + " bytes";
-        if (connection == null && outgoing == null) return progress + ", waiting for a connection";
+        String progress = requestBytes == 0 ? "not written"
+                : "written " + writtenBytes + " of " + requestBytes + " bytes";
+        if (connection == null && requestBytes == 0) return progress + ", waiting for a connection";
         String connectionInfo = reused ? " on a reused connection" : " on a new connection";
         String response = receivedBytes == 0 ? ""
                 : ", " + receivedBytes + " bytes, last " + Math.round(pool.loop().nowMs() - lastReceivedMs) + " ms ago"
@@ -204,7 +207,8 @@
         connection = newConnection;
         connectedMs = pool.loop().nowMs();
         reused = newConnection.idleSinceMs > 0;
-        outgoing = encode(requestSupplier.get(), body);
+        outgoing = new ByteBuffer[] {encodeHead(requestSupplier.get()), ByteBuffer.wrap(body)};
+        requestBytes = outgoing[0].remaining() + body.length;
         connection.stream.getSourceChannel().setReadListener(c -> read());
         connection.stream.getSinkChannel().setWriteListener(c -> write());
         connection.stream.getSourceChannel().resumeReads();
@@ -214,15 +218,18 @@
     private void write() {
         if (done || failurePending) return;
         try {
-            while (outgoing.hasRemaining()) {
-                if (connection.stream.getSinkChannel().write(outgoing) == 0) {
+            while (!fullyWritten()) {
+                long count = connection.stream.getSinkChannel().write(outgoing);
+                if (count == 0) {
                     connection.stream.getSinkChannel().resumeWrites();
                     return;
                 }
+                writtenBytes += count;
                 anyWritten = true;
             }
             connection.stream.getSinkChannel().suspendWrites();
             writtenMs = pool.loop().nowMs();
+            discardRequest();
         } catch (IOException e) {
             fail();
         }
@@ -316,17 +323,24 @@
 
     private ResponseHandler.Failure failure() {
         if (fullyWritten()) return ResponseHandler.Failure.BROKEN;
-        return localFault && outgoing == null ? ResponseHandler.Failure.LOCAL_FAULT
+        return localFault && requestBytes == 0 ? ResponseHandler.Failure.LOCAL_FAULT
                 : ResponseHandler.Failure.NEVER_SENT;
     }
 
     /** Returns true once the last byte of the request has been written. */
     private boolean fullyWritten() {
-        return outgoing != null && !outgoing.hasRemaining();
+        return requestBytes > 0 && writtenBytes == requestBytes;
+    }
+
+    /** Lets go of the request, which is written at most once; the call itself may be kept for its trace. */
+    private void discardRequest() {
+        outgoing = null;
+        body = null;
     }
 
     private void finish() {
         done = true;
+        discardRequest();
         cancelTimeout();
         if (cancelConnect != null) cancelConnect.run();
         if (connection != null) connection.abort();
--- a/src/main/java/maplerail/net/EngineClient.java
+++ b/src/main/java/maplerail/net/EngineClient.java
@@ -48,20 +48,21 @@
         HttpPayload payload = (HttpPayload) request.payload();
         InetSocketAddress address = addresses.get(engine);
         EngineResponseHandler handler = new EngineResponseHandler(listener);
-        handler.call = pool.start(address, () -> request(address, payload, deadlineMs), payload.body(), mayStart,
+        byte[] body = payload.body();
+        handler.call = pool.start(address, () -> request(address, payload, body.length, deadlineMs), body, mayStart,
                 handler);
         return new CallHandle(handler.call);
     }
 
     /** Builds the request as it is written now: its deadline header holds the time that is left. */
-    private ClientRequest request(InetSocketAddress address, HttpPayload payload, double deadlineMs) {
+    private ClientRequest request(InetSocketAddress address, HttpPayload payload, int bodyBytes, double deadlineMs) {
         ClientRequest request = Requests.to(address, payload.method(), payload.target());
         for (Map.Entry<HttpString, String> header : payload.headers()) {
             request.getRequestHeaders().add(header.getKey(), header.getValue());
         }
         double leftSeconds = Math.max(1, deadlineMs - loop.nowMs()) / 1_000;
         request.getRequestHeaders().put(DEADLINE_HEADER, String.format(Locale.ROOT, "%.3f", leftSeconds));
-        request.getRequestHeaders().put(Headers.CONTENT_LENGTH, payload.body().length);
+        request.getRequestHeaders().put(Headers.CONTENT_LENGTH, bodyBytes);
         return request;
     }
 
--- a/src/main/java/maplerail/policy/MemoryLimits.java
+++ b/src/main/java/maplerail/policy/MemoryLimits.java
@@ -10,9 +10,17 @@
     /** Incomplete requests get this part of the memory, so that they never crowd out complete ones. */
     private static final int INCOMPLETE_DIVISOR = 2;
 
-    /** Whether one of the incomplete requests must yield, given what they hold and what is held in all. */
-    public boolean mustIncompleteYield(long incompleteBytes, long heldBytes) {
+    /**
+     * Whether one of the incomplete requests must yield, given what they hold, what is held in all, and what is needed
+     * in addition.
+     */
+    public boolean mustIncompleteYield(long incompleteBytes, long heldBytes, long neededBytes) {
         if (incompleteBytes == 0) return false;
-        return incompleteBytes > totalBytes / INCOMPLETE_DIVISOR || heldBytes > totalBytes;
+        return incompleteBytes > totalBytes / INCOMPLETE_DIVISOR || !mayHold(heldBytes, neededBytes);
+    }
+
+    /** Whether further bytes may be held in addition to those that are held. */
+    public boolean mayHold(long heldBytes, long neededBytes) {
+        return heldBytes + neededBytes <= totalBytes;
     }
 }
