Count pipelined bytes and unread answers too, and end each account with its request

Cause: closing a connection completes its exchange first, and the completion dropped the action that lets go of the body. Fix: the action runs at either end. XNIO merges close listeners, so that chaining ran the server's own twice; the chain is gone.

Related paths: PipelinedBytes stopped counting once a request was answered, though the server still holds what follows, and up to 64 KiB for each connection were allowed beyond its limit; answers that clients do not read (64 KiB each) were not counted. Both are kinds of ClientMemory now. While memory is short, a connection may hold 16 KiB of further requests, and a stream is held back at its engine from 4 KiB on.

--- a/src/main/java/maplerail/core/ClientMemory.java
+++ b/src/main/java/maplerail/core/ClientMemory.java
@@ -16,7 +16,11 @@
         /** Requests of which a part has arrived. */
         INCOMPLETE_REQUEST,
         /** Complete requests whose payload may still be sent to an engine. */
-        OPEN_REQUEST
+        OPEN_REQUEST,
+        /** What clients have sent after a request that is not answered yet. */
+        PIPELINED_REQUEST,
+        /** Parts of answers that their clients have not read yet. */
+        UNREAD_ANSWER
     }
 
     /** A request of which a part has arrived. */
@@ -79,6 +83,26 @@
         add(Kind.OPEN_REQUEST, -bytes);
     }
 
+    /** Adds bytes that a client has sent after its request; a negative number if they are no longer held. */
+    public void addPipelined(int bytes) {
+        add(Kind.PIPELINED_REQUEST, bytes);
+    }
+
+    /** Returns true while clients should not be able to send much after a request that is not answered yet. */
+    public boolean isPipeliningShort() {
+        return limits.isShort(held(Kind.PIPELINED_REQUEST), totalBytes);
+    }
+
+    /** Adds bytes of an answer that its client has not read yet; a negative number if they are no longer held. */
+    public void addUnreadAnswer(int bytes) {
+        add(Kind.UNREAD_ANSWER, bytes);
+    }
+
+    /** Returns true while answers should be held back at their engines rather than here. */
+    public boolean isShortForAnswers() {
+        return limits.isShort(held(Kind.UNREAD_ANSWER), totalBytes);
+    }
+
     private void add(Kind kind, long bytes) {
         heldBytes[kind.ordinal()] += bytes;
         totalBytes += bytes;
--- a/src/main/java/maplerail/front/ClientListener.java
+++ b/src/main/java/maplerail/front/ClientListener.java
@@ -21,7 +21,6 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.xnio.ChannelListener;
-import org.xnio.ChannelListeners;
 import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
 import org.xnio.conduits.StreamSourceConduit;
@@ -93,8 +92,14 @@
         /** When the last bytes were read, and how long the current request may take while more keep arriving. */
         double lastByteMs;
         double receiveTimeoutMs = RECEIVE_TIMEOUT_MS;
-        /** Lets go of what is held for the current request when the connection is closed. */
-        Runnable closeAction = () -> {};
+        /** Lets go of what is held for the current request. */
+        Runnable requestEndAction = () -> {};
+
+        /** Ends the current request: its exchange is complete, or the connection is closed. */
+        void endRequest() {
+            requestEndAction.run();
+            requestEndAction = () -> {};
+        }
 
         /** Since when it has been in its state without a byte from its client. */
         double quietSinceMs() {
@@ -160,22 +165,13 @@
     private void startReading(StreamConnection connection, ClientConnection client) {
         client.state = State.SILENT;
         httpListener.handleEvent(connection);
-        forgetWhenClosed(connection);
-    }
-
-    /** Forgets a connection as soon as it is closed, in addition to what the HTTP server's own listener does. */
-    private void forgetWhenClosed(StreamConnection connection) {
-        ChannelListener<? super StreamConnection> serverListener = connection.getCloseListener();
-        connection.setCloseListener(closed -> {
-            forget(closed);
-            ChannelListeners.invokeChannelListener(closed, serverListener);
-        });
+        connection.setCloseListener(this::forget); // in addition to the HTTP server's own listener
         if (!connection.isOpen()) forget(connection);
     }
 
     private void forget(StreamConnection connection) {
         ClientConnection client = clients.remove(connection);
-        if (client != null) client.closeAction.run();
+        if (client != null) client.endRequest();
     }
 
     /** Records that bytes were read: a connection on which a request is arriving does not count as idle. */
@@ -200,7 +196,6 @@
         if (starting != null) onRequestStarted(starting);
         exchange.addExchangeCompleteListener((completed, proceed) -> {
             setState(completed, State.IDLE);
-            setCloseAction(completed, () -> {});
             ClientConnection client = find(completed);
             if (client != null) onRequestCompleted(client, completed);
             proceed.proceed();
@@ -208,6 +203,7 @@
     }
 
     private void onRequestCompleted(ClientConnection client, HttpServerExchange exchange) {
+        client.endRequest();
         int unread = unreadBytes((HttpServerConnection) exchange.getConnection());
         client.arrivals.requestEnded(unread);
         if (unread == 0 || !exchange.isPersistent()) return;
@@ -241,10 +237,10 @@
         if (client != null) client.receiveTimeoutMs = Math.max(RECEIVE_TIMEOUT_MS, budgetMs);
     }
 
-    /** Sets what is run when the connection is closed before the request's exchange is complete. */
-    public void setCloseAction(HttpServerExchange exchange, Runnable action) {
+    /** Sets what is run once the request's exchange is complete or its connection is closed. */
+    public void setRequestEndAction(HttpServerExchange exchange, Runnable action) {
         ClientConnection client = find(exchange);
-        if (client != null) client.closeAction = action;
+        if (client != null) client.requestEndAction = action;
     }
 
     /** Records that a request is answered before it is complete: for a while, its client may send the rest. */
--- a/src/main/java/maplerail/front/platform/BodyReader.java
+++ b/src/main/java/maplerail/front/platform/BodyReader.java
@@ -83,7 +83,7 @@
         scheduleDiscard();
     }
 
-    /** Lets go of the body: its connection is closed. */
+    /** Lets go of the body: its exchange is complete, or its connection is closed. */
     void close() {
         free();
         state = State.DONE;
--- a/src/main/java/maplerail/front/platform/HttpAnswer.java
+++ b/src/main/java/maplerail/front/platform/HttpAnswer.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Locale;
 import maplerail.core.Caller;
+import maplerail.core.ClientMemory;
 import maplerail.core.RequestHandle;
 import maplerail.core.ServiceCounters;
 import org.slf4j.Logger;
@@ -29,10 +30,12 @@
     }
 
     private static final int MAX_PENDING_BYTES = 64 * 1024; // that the client has not read yet
+    private static final int MAX_PENDING_BYTES_WHEN_SHORT = 4 * 1024; // while memory is short
 
     private final HttpServerExchange exchange;
     private final PipelinedBytes pipelined;
     private final ServiceCounters counters;
+    private final ClientMemory memory;
     private final ArrayDeque<ByteBuffer> pendingChunks = new ArrayDeque<>();
     private int pendingBytes;
     private RequestHandle handle;
@@ -41,10 +44,11 @@
     private boolean ending;
     private boolean finished;
 
-    HttpAnswer(HttpServerExchange exchange, PipelinedBytes pipelined, ServiceCounters counters) {
+    HttpAnswer(HttpServerExchange exchange, PipelinedBytes pipelined, ServiceCounters counters, ClientMemory memory) {
         this.exchange = exchange;
         this.pipelined = pipelined;
         this.counters = counters;
+        this.memory = memory;
     }
 
     /** Sets the handle that is notified when the client leaves. */
@@ -102,7 +106,17 @@
     /** Marks the request as finished: later events and answers for it are ignored. */
     private void finish() {
         finished = true;
-        if (exchange.getConnection() instanceof HttpServerConnection connection) pipelined.release(connection);
+        countPending(-pendingBytes);
+        if (exchange.getConnection() instanceof HttpServerConnection connection) pipelined.recount(connection);
+    }
+
+    private void countPending(int bytes) {
+        pendingBytes += bytes;
+        memory.addUnreadAnswer(bytes);
+    }
+
+    private int maxPendingBytes() {
+        return memory.isShortForAnswers() ? MAX_PENDING_BYTES_WHEN_SHORT : MAX_PENDING_BYTES;
     }
 
     private void onClientLeft(Left reason) {
@@ -126,9 +140,9 @@
             sink.getWriteSetter().set(channel -> writePending());
         }
         pendingChunks.add(ByteBuffer.wrap(event));
-        pendingBytes += event.length;
+        countPending(event.length);
         if (pendingChunks.size() == 1) writePending();
-        paused = pendingBytes > MAX_PENDING_BYTES;
+        paused = pendingBytes > maxPendingBytes();
         return !paused;
     }
 
@@ -138,7 +152,7 @@
             while (!pendingChunks.isEmpty()) {
                 ByteBuffer first = pendingChunks.peek();
                 int count = sink.write(first);
-                pendingBytes -= count;
+                countPending(-count);
                 if (!first.hasRemaining()) pendingChunks.poll();
                 else if (count == 0) {
                     sink.resumeWrites();
@@ -159,7 +173,7 @@
             onClientLeft(Left.WRITE_FAILED);
             return;
         }
-        if (paused && !finished && pendingBytes <= MAX_PENDING_BYTES / 2) {
+        if (paused && !finished && pendingBytes <= maxPendingBytes() / 2) {
             paused = false;
             handle.writable();
         }
@@ -252,6 +266,7 @@
         sink = exchange.getResponseChannel();
         sink.getWriteSetter().set(channel -> writePending());
         pendingChunks.add(ByteBuffer.wrap(body));
+        countPending(body.length);
         ending = true;
         writePending();
     }
--- a/src/main/java/maplerail/front/platform/PipelinedBytes.java
+++ b/src/main/java/maplerail/front/platform/PipelinedBytes.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.regex.Pattern;
+import maplerail.core.ClientMemory;
 
 /**
  * Buffers what clients send after a request that is not answered yet (HTTP pipelining). The HTTP server later reads it
@@ -17,29 +18,41 @@
 final class PipelinedBytes {
     /** Limit for each connection: twice the size of the largest request with its head. */
     private static final int MAX_BYTES_PER_CONNECTION = 2 * (PlatformFront.MAX_BODY_BYTES + 16 * 1024);
-    /** Limit for each connection while the limit over all connections is exceeded. */
-    private static final int MAX_BYTES_PER_CONNECTION_WHEN_FULL = 64 * 1024;
-    private static final long MAX_TOTAL_BYTES = 8L << 20;
+    /** Limit for each connection while memory is short: a client that has left can still be noticed behind so much. */
+    private static final int MAX_BYTES_PER_CONNECTION_WHEN_SHORT = 16 * 1024;
 
     private static final Pattern ID_HEADER = Pattern.compile("\\nReq-Id: ?([0-9A-Za-z._~-]{1,128})\\r?\\n",
             Pattern.CASE_INSENSITIVE);
     private static final int MAX_LOGGED_IDS = 8; // in one log line
 
-    private final Map<HttpServerConnection, Integer> buffered = new HashMap<>();
-    private long totalBytes;
+    private final ClientMemory memory;
+    /** Bytes held for each connection, those included that the server has begun to read as the next request. */
+    private final Map<HttpServerConnection, Integer> heldBytes = new HashMap<>();
+
+    PipelinedBytes(ClientMemory memory) {
+        this.memory = memory;
+    }
 
     /** Buffers bytes for the server; returns false if no more may be read until the current request is answered. */
     boolean add(HttpServerConnection connection, ByteBuffer received) {
         int bytes = append(connection, received);
-        Integer before = buffered.put(connection, bytes);
-        totalBytes += bytes - (before == null ? 0 : before);
-        return bytes <= (totalBytes > MAX_TOTAL_BYTES ? MAX_BYTES_PER_CONNECTION_WHEN_FULL : MAX_BYTES_PER_CONNECTION);
+        recount(connection);
+        return bytes <= (memory.isPipeliningShort() ? MAX_BYTES_PER_CONNECTION_WHEN_SHORT : MAX_BYTES_PER_CONNECTION);
+    }
+
+    /** Counts what a connection holds now: the server lets go of the bytes as it reads them as the next requests. */
+    void recount(HttpServerConnection connection) {
+        PooledByteBuffer extra = connection.getExtraBytes();
+        int bytes = extra == null ? 0 : extra.getBuffer().capacity();
+        Integer before = heldBytes.get(connection);
+        if (before == null && bytes == 0 || !connection.isOpen()) return;
+        if (before == null) connection.addCloseListener(closed -> onClosed(connection));
+        heldBytes.put(connection, bytes);
+        memory.addPipelined(bytes - (before == null ? 0 : before));
     }
 
-    /** Stops counting the bytes of a connection once its request is answered: they belong to the server now. */
-    void release(HttpServerConnection connection) {
-        Integer before = buffered.remove(connection);
-        if (before != null) totalBytes -= before;
+    private void onClosed(HttpServerConnection connection) {
+        memory.addPipelined(-heldBytes.remove(connection));
     }
 
     /** Returns the ids of the buffered requests of a connection, as far as they have arrived; for the log. */
--- a/src/main/java/maplerail/front/platform/PlatformFront.java
+++ b/src/main/java/maplerail/front/platform/PlatformFront.java
@@ -2,6 +2,7 @@
 
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.server.protocol.http.HttpServerConnection;
 import io.undertow.util.Headers;
 import io.undertow.util.Methods;
 import io.undertow.util.SameThreadExecutor;
@@ -33,7 +34,7 @@
     private final RequestThrottle throttle;
     /** The longest deadline of all classes; a request may take no longer to arrive, whatever its client asks for. */
     private final double maxDeadlineMs;
-    private final PipelinedBytes pipelined = new PipelinedBytes();
+    private final PipelinedBytes pipelined;
     private ClientListener listener;
 
     /**
@@ -50,6 +51,7 @@
         this.lifecycle = lifecycle;
         this.loop = loop;
         this.memory = memory;
+        this.pipelined = new PipelinedBytes(memory);
         this.throttle = new RequestThrottle(loop);
         this.maxDeadlineMs = maxDeadlineMs;
     }
@@ -62,6 +64,7 @@
     @Override
     public void handleRequest(HttpServerExchange exchange) {
         listener.onRequestHead(exchange);
+        if (exchange.getConnection() instanceof HttpServerConnection connection) pipelined.recount(connection);
         if (throttle.tryHandleNow()) {
             handle(exchange);
             return;
@@ -73,7 +76,7 @@
     private void handle(HttpServerExchange exchange) {
         listener.onDequeued(exchange);
         if (lifecycle.phase().isShuttingDown()) exchange.getResponseHeaders().put(Headers.CONNECTION, "close");
-        HttpAnswer answer = new HttpAnswer(exchange, pipelined, broker.counters());
+        HttpAnswer answer = new HttpAnswer(exchange, pipelined, broker.counters(), memory);
         if (exchange.getRequestURI().equals("/-/ready")) {
             answer.respond(lifecycle.phase() == Phase.READY ? 200 : 503, "");
         } else {
@@ -94,7 +97,7 @@
         }
 
         void start() {
-            listener.setCloseAction(exchange, body::close);
+            listener.setRequestEndAction(exchange, body::close);
             if (exchange.getRequestURI().startsWith("/-/")) {
                 reject(404, "no such path");
             } else if (!exchange.getRequestMethod().equals(Methods.POST)) {
--- a/src/main/java/maplerail/policy/MemoryLimits.java
+++ b/src/main/java/maplerail/policy/MemoryLimits.java
@@ -9,6 +9,8 @@
 public record MemoryLimits(long totalBytes) {
     /** Incomplete requests get this part of the memory, so that they never crowd out complete ones. */
     private static final int INCOMPLETE_DIVISOR = 2;
+    /** Pipelined requests and unread answers each get this part of the memory before they are held back. */
+    private static final int BACKLOG_DIVISOR = 4;
 
     /**
      * Whether one of the incomplete requests must yield, given what they hold, what is held in all, and what is needed
@@ -19,6 +21,11 @@
         return incompleteBytes > totalBytes / INCOMPLETE_DIVISOR || !mayHold(heldBytes, neededBytes);
     }
 
+    /** Whether bytes of a kind that can wait at their sender should do so, given how many are held. */
+    public boolean isShort(long bytesOfKind, long heldBytes) {
+        return bytesOfKind > totalBytes / BACKLOG_DIVISOR || heldBytes > totalBytes;
+    }
+
     /** Whether further bytes may be held in addition to those that are held. */
     public boolean mayHold(long heldBytes, long neededBytes) {
         return heldBytes + neededBytes <= totalBytes;
--- a/src/test/java/maplerail/cli/ClientMemoryIT.java
+++ b/src/test/java/maplerail/cli/ClientMemoryIT.java
@@ -1,5 +1,6 @@
 package maplerail.cli;
 
+import static maplerail.support.GatewayFixture.await;
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.IOException;
@@ -34,6 +35,8 @@
     /** The deadline and the half second after it, from which on a request without an answer counts as lost. */
     private static final double MAX_ANSWER_MS = 2_500;
     private static final int PATIENCE_MS = 8_000;
+    private static final String NOTHING_HELD = "memory for clients: INCOMPLETE_REQUEST=0 OPEN_REQUEST=0 "
+            + "PIPELINED_REQUEST=0 UNREAD_ANSWER=0 of ";
     private static final int STACK_BYTES = 256 * 1_024;
     private static final int MEBIBYTE = 1 << 20;
     private static final int BODY_BYTES = 250_000; // a body may have 256 KiB
@@ -77,6 +80,7 @@
                 new BadClient("bodies without end of an unknown class", "unknown", length, BODY_BYTES, true),
                 new BadClient("bodies beyond the limit", "lookup", hugeLength, 60 * MEBIBYTE, true),
                 new BadClient("heads without end", "lookup", endlessField, 0, true),
+                new BadClient("bytes after a request", "lookup", "Content-Length: 2\r\n\r\n{}", 2 * BODY_BYTES, true),
                 new BadClient("bodies without end, then a close", "lookup", length, BODY_BYTES, false));
     }
 
@@ -159,7 +163,9 @@
             for (Thread thread : threads) thread.join();
             assertThat(endings).hasSize(REQUESTS).allMatch(Ending::inTime);
             assertThat(ask(port, "after").answer()).as("once the bad clients have gone").startsWith("HTTP/1.1 200");
-            assertThat(gateway.process().isAlive()).isTrue();
+            gateway.signal("TERM");
+            await("the gateway has ended", () -> !gateway.process().isAlive());
+            assertThat(gateway.log()).contains(NOTHING_HELD);
         }
     }
 }
