Handle the readiness check like any request, so that no body is drained unlimited

The readiness check was answered before its body had been read, and the server then drained that body as fast as its client sent it: the path that unfinished bodies took before, left open for one target. Found by reading; the new form of ClientMemoryIT (60 MB to /-/ready) passed before, too. Every request goes through IncomingRequest now.

--- a/src/main/java/maplerail/front/platform/PlatformFront.java
+++ b/src/main/java/maplerail/front/platform/PlatformFront.java
@@ -77,14 +77,10 @@
         listener.onDequeued(exchange);
         if (lifecycle.phase().isShuttingDown()) exchange.getResponseHeaders().put(Headers.CONNECTION, "close");
         HttpAnswer answer = new HttpAnswer(exchange, pipelined, broker.counters(), memory);
-        if (exchange.getRequestURI().equals("/-/ready")) {
-            answer.respond(lifecycle.phase() == Phase.READY ? 200 : 503, "");
-        } else {
-            exchange.dispatch(SameThreadExecutor.INSTANCE, () -> new IncomingRequest(exchange, answer).start());
-        }
+        exchange.dispatch(SameThreadExecutor.INSTANCE, () -> new IncomingRequest(exchange, answer).start());
     }
 
-    /** A request whose body arrives. It is submitted once it is complete, unless it is rejected before. */
+    /** A request whose body arrives. It is submitted once it is complete, unless it is answered before. */
     private final class IncomingRequest implements BodyReader.Listener {
         private final HttpServerExchange exchange;
         private final HttpAnswer answer;
@@ -98,10 +94,12 @@
 
         void start() {
             listener.setRequestEndAction(exchange, body::close);
-            if (exchange.getRequestURI().startsWith("/-/")) {
-                reject(404, "no such path");
+            if (exchange.getRequestURI().equals("/-/ready")) {
+                answerNow(lifecycle.phase() == Phase.READY ? 200 : 503, "");
+            } else if (exchange.getRequestURI().startsWith("/-/")) {
+                answerNow(404, "no such path");
             } else if (!exchange.getRequestMethod().equals(Methods.POST)) {
-                reject(405, "POST only");
+                answerNow(405, "POST only");
             } else if (exchange.getRequestContentLength() > MAX_BODY_BYTES) {
                 tooLarge();
             } else {
@@ -122,13 +120,13 @@
             return parser.parse(exchange, bodyBytes, listener.earliestSentMs(exchange));
         }
 
-        private void reject(int status, String message) {
-            beforeRejection();
+        private void answerNow(int status, String message) {
+            discardRest();
             answer.respond(status, message);
         }
 
-        /** Reads on after the answer, so that the client gets it although it is still sending. */
-        private void beforeRejection() {
+        /** Discards what is still to come of the request, so that its client gets the answer although it is sending. */
+        private void discardRest() {
             if (exchange.isRequestComplete()) return;
             exchange.setPersistent(false);
             listener.onRejected(exchange);
@@ -140,18 +138,18 @@
             try {
                 parse(new byte[0]);
             } catch (RequestParser.BadRequest e) {
-                reject(400, e.getMessage());
+                answerNow(400, e.getMessage());
             }
         }
 
         @Override
         public void tooLarge() {
-            reject(413, "the body is too large");
+            answerNow(413, "the body is too large");
         }
 
         @Override
         public void yielded() {
-            beforeRejection();
+            discardRest();
             answer.refuse(Caller.Why.OVERLOAD, YIELD_RETRY_MS);
         }
 
--- a/src/test/java/maplerail/cli/ClientMemoryIT.java
+++ b/src/test/java/maplerail/cli/ClientMemoryIT.java
@@ -38,6 +38,7 @@
     private static final String NOTHING_HELD = "memory for clients: INCOMPLETE_REQUEST=0 OPEN_REQUEST=0 "
             + "PIPELINED_REQUEST=0 UNREAD_ANSWER=0 of ";
     private static final int STACK_BYTES = 256 * 1_024;
+    private static final String REQUEST_TARGET = "/v1/chat/completions";
     private static final int MEBIBYTE = 1 << 20;
     private static final int BODY_BYTES = 250_000; // a body may have 256 KiB
 
@@ -45,7 +46,8 @@
     Path folder;
 
     /** What a bad client sends before it waits for its answer. */
-    private record BadClient(String name, String kind, String headEnd, int bodyBytes, boolean readsAnswer) {
+    private record BadClient(String name, String target, String kind, String headEnd, int bodyBytes,
+            boolean readsAnswer) {
         private static final AtomicInteger IDS = new AtomicInteger();
 
         @Override
@@ -56,7 +58,7 @@
         /** Sends, reads what it gets, and closes. */
         void visit(int port) throws IOException {
             try (Socket socket = connect(port)) {
-                String head = "POST /v1/chat/completions HTTP/1.1\r\nHost: app.svc\r\nReq-Id: bad"
+                String head = "POST " + target + " HTTP/1.1\r\nHost: app.svc\r\nReq-Id: bad"
                         + IDS.incrementAndGet() + "\r\nReq-Kind: " + kind
                         + "\r\nReq-Owner: cyngor-glannau\r\nReq-Key: 1\r\nReq-Deadline: " + DEADLINE_S + "\r\n"
                         + headEnd;
@@ -75,13 +77,17 @@
         String hugeLength = "Content-Length: 60000000\r\n\r\n";
         String hugeChunk = "Transfer-Encoding: chunked\r\n\r\n3938700\r\n";
         String endlessField = "X: " + "a".repeat(17_000);
-        return Stream.of(new BadClient("chunks without end", "lookup", hugeChunk, MEBIBYTE, true),
-                new BadClient("bodies without end", "lookup", length, BODY_BYTES, true),
-                new BadClient("bodies without end of an unknown class", "unknown", length, BODY_BYTES, true),
-                new BadClient("bodies beyond the limit", "lookup", hugeLength, 60 * MEBIBYTE, true),
-                new BadClient("heads without end", "lookup", endlessField, 0, true),
-                new BadClient("bytes after a request", "lookup", "Content-Length: 2\r\n\r\n{}", 2 * BODY_BYTES, true),
-                new BadClient("bodies without end, then a close", "lookup", length, BODY_BYTES, false));
+        return Stream.of(new BadClient("chunks without end", REQUEST_TARGET, "lookup", hugeChunk, MEBIBYTE, true),
+                new BadClient("bodies without end", REQUEST_TARGET, "lookup", length, BODY_BYTES, true),
+                new BadClient("bodies without end of an unknown class", REQUEST_TARGET, "unknown", length, BODY_BYTES,
+                        true),
+                new BadClient("bodies beyond the limit", REQUEST_TARGET, "lookup", hugeLength, 60 * MEBIBYTE, true),
+                new BadClient("heads without end", REQUEST_TARGET, "lookup", endlessField, 0, true),
+                new BadClient("bytes after a request", REQUEST_TARGET, "lookup", "Content-Length: 2\r\n\r\n{}",
+                        2 * BODY_BYTES, true),
+                new BadClient("bodies beyond the limit for the readiness check", "/-/ready", "lookup", hugeLength,
+                        60 * MEBIBYTE, true),
+                new BadClient("bodies without end, then a close", REQUEST_TARGET, "lookup", length, BODY_BYTES, false));
     }
 
     /** How a request of a usual client ended. */
