Let ClientMemory add and judge by kind, and open an answer's channel in one place

ClientMemory had a pair of methods for each kind of bytes, with two ways of taking bytes off the account; add(kind, bytes) and isShort(kind) serve all of them. HttpAnswer set up its channel and queued bytes twice, for streams and for answers given before their request ends.

--- a/src/main/java/maplerail/core/ClientMemory.java
+++ b/src/main/java/maplerail/core/ClientMemory.java
@@ -75,35 +75,13 @@
         return hasRoom;
     }
 
-    void addOpenRequest(int bytes) {
-        add(Kind.OPEN_REQUEST, bytes);
+    /** Returns true while what is held of a kind should rather wait at its sender. */
+    public boolean isShort(Kind kind) {
+        return limits.isShort(held(kind), totalBytes);
     }
 
-    void removeOpenRequest(int bytes) {
-        add(Kind.OPEN_REQUEST, -bytes);
-    }
-
-    /** Adds bytes that a client has sent after its request; a negative number if they are no longer held. */
-    public void addPipelined(int bytes) {
-        add(Kind.PIPELINED_REQUEST, bytes);
-    }
-
-    /** Returns true while clients should not be able to send much after a request that is not answered yet. */
-    public boolean isPipeliningShort() {
-        return limits.isShort(held(Kind.PIPELINED_REQUEST), totalBytes);
-    }
-
-    /** Adds bytes of an answer that its client has not read yet; a negative number if they are no longer held. */
-    public void addUnreadAnswer(int bytes) {
-        add(Kind.UNREAD_ANSWER, bytes);
-    }
-
-    /** Returns true while answers should be held back at their engines rather than here. */
-    public boolean isShortForAnswers() {
-        return limits.isShort(held(Kind.UNREAD_ANSWER), totalBytes);
-    }
-
-    private void add(Kind kind, long bytes) {
+    /** Adds bytes that are held; a negative number if they are no longer held. */
+    public void add(Kind kind, long bytes) {
         heldBytes[kind.ordinal()] += bytes;
         totalBytes += bytes;
         peakBytes = Math.max(peakBytes, totalBytes);
--- a/src/main/java/maplerail/core/Quotas.java
+++ b/src/main/java/maplerail/core/Quotas.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import maplerail.core.Caller.Why;
+import maplerail.core.ClientMemory.Kind;
 
 /**
  * Second stage: enforces contracts and budgets before anything is decided or sent. Brokers of several services may
@@ -65,7 +66,7 @@
             Denial denial = charge(budgets.teams().get(request.tenant()), accountOf(request.tenant()));
             if (denial != null) return denial;
         }
-        memory.addOpenRequest(request.payloadBytes());
+        memory.add(Kind.OPEN_REQUEST, request.payloadBytes());
         openRequests++;
         if (!checkingLag) checkLag(0);
         return null;
@@ -101,7 +102,7 @@
 
     /** Records that the payload of an admitted request is no longer held. */
     void onPayloadDiscarded(ServiceRequest request) {
-        memory.removeOpenRequest(request.payloadBytes());
+        memory.add(Kind.OPEN_REQUEST, -request.payloadBytes());
     }
 
     void onRequestClosed(ServiceRequest request) {
--- a/src/main/java/maplerail/front/platform/HttpAnswer.java
+++ b/src/main/java/maplerail/front/platform/HttpAnswer.java
@@ -12,6 +12,7 @@
 import java.util.Locale;
 import maplerail.core.Caller;
 import maplerail.core.ClientMemory;
+import maplerail.core.ClientMemory.Kind;
 import maplerail.core.RequestHandle;
 import maplerail.core.ServiceCounters;
 import org.slf4j.Logger;
@@ -112,11 +113,11 @@
 
     private void countPending(int bytes) {
         pendingBytes += bytes;
-        memory.addUnreadAnswer(bytes);
+        memory.add(Kind.UNREAD_ANSWER, bytes);
     }
 
     private int maxPendingBytes() {
-        return memory.isShortForAnswers() ? MAX_PENDING_BYTES_WHEN_SHORT : MAX_PENDING_BYTES;
+        return memory.isShort(Kind.UNREAD_ANSWER) ? MAX_PENDING_BYTES_WHEN_SHORT : MAX_PENDING_BYTES;
     }
 
     private void onClientLeft(Left reason) {
@@ -136,16 +137,24 @@
             exchange.getResponseHeaders().put(Headers.CACHE_CONTROL, "no-cache");
             // Explicit, as only this gives a stream a last chunk where the connection closes after the answer.
             exchange.getResponseHeaders().put(Headers.TRANSFER_ENCODING, "chunked");
-            sink = exchange.getResponseChannel();
-            sink.getWriteSetter().set(channel -> writePending());
+            openSink();
         }
-        pendingChunks.add(ByteBuffer.wrap(event));
-        countPending(event.length);
+        addPending(event);
         if (pendingChunks.size() == 1) writePending();
         paused = pendingBytes > maxPendingBytes();
         return !paused;
     }
 
+    private void openSink() {
+        sink = exchange.getResponseChannel();
+        sink.getWriteSetter().set(channel -> writePending());
+    }
+
+    private void addPending(byte[] bytes) {
+        pendingChunks.add(ByteBuffer.wrap(bytes));
+        countPending(bytes.length);
+    }
+
     private void writePending() {
         if (finished) return;
         try {
@@ -263,10 +272,8 @@
     /** Writes a whole answer without waiting for the rest of the request, as the server's own sender would. */
     private void respondBeforeRequestEnds(byte[] body) {
         exchange.setResponseContentLength(body.length);
-        sink = exchange.getResponseChannel();
-        sink.getWriteSetter().set(channel -> writePending());
-        pendingChunks.add(ByteBuffer.wrap(body));
-        countPending(body.length);
+        openSink();
+        addPending(body);
         ending = true;
         writePending();
     }
--- a/src/main/java/maplerail/front/platform/PipelinedBytes.java
+++ b/src/main/java/maplerail/front/platform/PipelinedBytes.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.regex.Pattern;
 import maplerail.core.ClientMemory;
+import maplerail.core.ClientMemory.Kind;
 
 /**
  * Buffers what clients send after a request that is not answered yet (HTTP pipelining). The HTTP server later reads it
@@ -37,7 +38,8 @@
     boolean add(HttpServerConnection connection, ByteBuffer received) {
         int bytes = append(connection, received);
         recount(connection);
-        return bytes <= (memory.isPipeliningShort() ? MAX_BYTES_PER_CONNECTION_WHEN_SHORT : MAX_BYTES_PER_CONNECTION);
+        return bytes <= (memory.isShort(Kind.PIPELINED_REQUEST) ? MAX_BYTES_PER_CONNECTION_WHEN_SHORT
+                : MAX_BYTES_PER_CONNECTION);
     }
 
     /** Counts what a connection holds now: the server lets go of the bytes as it reads them as the next requests. */
@@ -48,11 +50,11 @@
         if (before == null && bytes == 0 || !connection.isOpen()) return;
         if (before == null) connection.addCloseListener(closed -> onClosed(connection));
         heldBytes.put(connection, bytes);
-        memory.addPipelined(bytes - (before == null ? 0 : before));
+        memory.add(Kind.PIPELINED_REQUEST, bytes - (before == null ? 0 : before));
     }
 
     private void onClosed(HttpServerConnection connection) {
-        memory.addPipelined(-heldBytes.remove(connection));
+        memory.add(Kind.PIPELINED_REQUEST, -heldBytes.remove(connection));
     }
 
     /** Returns the ids of the buffered requests of a connection, as far as they have arrived; for the log. */
--- a/src/test/java/maplerail/core/ClientMemoryTest.java
+++ b/src/test/java/maplerail/core/ClientMemoryTest.java
@@ -48,12 +48,12 @@
     /** Guards against a complete request that is refused while bytes of incomplete ones are held. */
     @Test
     void incompleteRequestsYieldBeforeACompleteOneIsRefused() {
-        memory.addOpenRequest(700);
+        memory.add(ClientMemory.Kind.OPEN_REQUEST, 700);
         memory.addIncomplete(request("incomplete"), 200);
         assertThat(memory.hasRoomFor(300)).isTrue();
         assertThat(yielded).containsExactly("incomplete");
         assertThat(memory.hasRoomFor(301)).isFalse();
-        memory.removeOpenRequest(700);
+        memory.add(ClientMemory.Kind.OPEN_REQUEST, -700);
         assertThat(memory.hasRoomFor(LIMIT)).isTrue();
     }
 }
