--- a/src/test/java/maplerail/cli/SlowEngineIT.java
+++ b/src/test/java/maplerail/cli/SlowEngineIT.java
@@ -24,6 +24,7 @@
     private static final double PIN_LIMIT_MS = 250;
     private static final double SLACK_MS = 300; // that the rules on sockets add to the limit
     private static final double END_TIMEOUT_MS = 5_000; // after the last event of a stalled stream, by TERMS
+    private static final int LONG_EVENT_MS = 6_500;
     private static final String HEAD = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
             + "Transfer-Encoding: chunked\r\n\r\n";
     private static final String READ = "HTTP/1.1 202 Accepted\r\nContent-Length: 19\r\n\r\n{\"cached_tokens\":0}";
@@ -126,6 +127,17 @@
         });
     }
 
+    /** Guards against cutting a stream whose engine is still writing, as no event has become whole for a while. */
+    @Test
+    void anEventThatArrivesByteByByteForLongerThanAStreamMayStallIsPassedOn() throws Exception {
+        assertServed(SlowEngineIT::read, x -> {
+            x.startStream();
+            x.chunk(EVENT);
+            x.writeSlowly(CHUNK, LONG_EVENT_MS);
+            finish(x);
+        });
+    }
+
     /** A client expects the end within 5 s of the last event, so that it can request the rest elsewhere. */
     @Test
     void aStreamThatStallsWithinAChunkEndsTheClientsConnectionInTime() throws Exception {
