Let a stream stall only when no byte of it arrives, not when no event becomes whole

Callers saw: a long answer whose engine was still writing ended after 4.8 to 5.0 s, without a last chunk. Cause: AttemptRunner.scheduleStallCheck counted from the last whole event; an event that an engine writes slowly made no progress by that measure. Class: progress measured in whole units where the peer shows it in bytes. Evidence: the incident's cut streams had their last byte 228 to 262 ms before the cut. Why it works: the check now takes the later of the last event and the last byte received on the attempt's connection.

--- a/src/main/java/maplerail/core/ActiveRequest.java
+++ b/src/main/java/maplerail/core/ActiveRequest.java
@@ -145,6 +145,11 @@
         Router.Outcome outcome;
         double endedMs;
 
+        /** When its answer was last seen to go on: an event may take its engine long to write. */
+        double lastProgressMs() {
+            return Math.max(lastEventMs, handle.lastReceivedMs());
+        }
+
         /**
          * The latest time at which its engine is known to have run after the attempt had been sent to it, which
          * proves that the attempt was in flight then; negative infinity if there is no proof.
--- a/src/main/java/maplerail/core/AttemptRunner.java
+++ b/src/main/java/maplerail/core/AttemptRunner.java
@@ -13,7 +13,7 @@
 
 /** Makes the attempts that the module orders, ends them and reports their outcomes to the module. */
 final class AttemptRunner {
-    /** Time without an event after which a stream counts as stalled; clients must be told within 5 s. */
+    /** Time without a byte after which a stream counts as stalled; clients must be told within 5 s. */
     private static final double STREAM_STALL_TIMEOUT_MS = 4_500;
     /**
      * Longest time that an attempt stays open after its request's answer while the reader of its state is unreachable.
@@ -191,7 +191,7 @@
      */
     private void scheduleStallCheck(ActiveRequest.Attempt attempt, double afterMs) {
         attempt.timeout = loop.schedule(loop.nowMs() + afterMs, () -> {
-            double silentMs = attempt.paused ? 0 : loop.nowMs() - attempt.lastEventMs;
+            double silentMs = attempt.paused ? 0 : loop.nowMs() - attempt.lastProgressMs();
             if (silentMs >= STREAM_STALL_TIMEOUT_MS) abort(attempt, Outcome.RESET);
             else if (!attempt.ended) scheduleStallCheck(attempt, STREAM_STALL_TIMEOUT_MS - silentMs);
         });
--- a/src/main/java/maplerail/core/EngineTransport.java
+++ b/src/main/java/maplerail/core/EngineTransport.java
@@ -44,6 +44,11 @@
             return Double.NaN;
         }
 
+        /** When the last bytes of the answer were received, 0 before any. */
+        default double lastReceivedMs() {
+            return 0;
+        }
+
         /** Aborts the attempt. The listener gets no further calls. */
         void abort();
 
