Take a stream for whole only if its last event is there, not for its framing alone

Callers saw: a stream that its engine had not finished ended with a last chunk, as if it were complete. Cause: EngineClient took the end of the chunked framing for the end of the answer, and ResponseParser any text for a trailer. So a size that is wrongly zero, a last chunk within an event or without the last event, and a size that takes in the next chunk's frame ended or passed through as a whole stream. An answer with no event at all was served as well. Class: the completeness of an answer judged by one layer (framing) though the protocol states it in another ("a stream of events to its last chunk", ending in data: [DONE]). RESET, not SERVED, is now the outcome, and the log says what was wrong ("ended without its last event"). Why it works: a stream is complete when framing and last event agree; a line that is no field of an event stream shows a frame taken for data and ends the stream at once.

--- a/src/main/java/maplerail/net/Call.java
+++ b/src/main/java/maplerail/net/Call.java
@@ -54,6 +54,8 @@
     private boolean reading;
     private boolean failurePending;
     private boolean done;
+    /** What is wrong with the response, for the log; empty if nothing is known. */
+    private String flaw = "";
 
     /**
      * Creates a call. Its head is requested right before it is written, so that times in it are current.
@@ -114,7 +116,12 @@
                 : ", " + receivedBytes + " bytes, last " + Math.round(pool.loop().nowMs() - lastReceivedMs) + " ms ago"
                         + (paused ? ", paused" : "");
         return progress + connectionInfo + " after " + Math.round(connectedMs - startMs) + " ms, status "
-                + parser.status() + response;
+                + parser.status() + response + (flaw.isEmpty() ? "" : ", " + flaw);
+    }
+
+    /** Records what is wrong with the response, for the log. */
+    void recordFlaw(String description) {
+        flaw = description;
     }
 
     /** Returns true while nothing has been written. */
@@ -259,7 +266,7 @@
                 if (parser.done()) complete(count > 0 && !buffer.hasRemaining());
             }
         } catch (IOException e) {
-            LOG.debug("response is incomplete or malformed", e);
+            recordFlaw(e.getMessage());
             fail();
         } catch (RuntimeException e) {
             // A bug in this program: it ends this call and must be visible.
--- a/src/main/java/maplerail/net/EngineClient.java
+++ b/src/main/java/maplerail/net/EngineClient.java
@@ -74,7 +74,8 @@
         private final EventSplitter events = new EventSplitter();
         private final ByteArrayOutputStream textBody = new ByteArrayOutputStream();
         private Outcome headOutcome;
-        private boolean hasFraming;
+        /** False if the end of the response does not prove that the answer is complete. */
+        private boolean endIsProof;
         private boolean invalidRequest;
 
         EngineResponseHandler(AnswerListener listener) {
@@ -85,8 +86,8 @@
         public void head(int status, HeaderMap headers) {
             headOutcome = Outcomes.of(status, headers);
             invalidRequest = Outcomes.isInvalidRequest(status);
-            // Without framing, the end of the connection does not prove that the response is complete.
-            hasFraming = headers.contains(Headers.TRANSFER_ENCODING) || headers.contains(Headers.CONTENT_LENGTH);
+            // Without framing, the response ends with its connection, whatever ended that.
+            endIsProof = headers.contains(Headers.TRANSFER_ENCODING) || headers.contains(Headers.CONTENT_LENGTH);
             if (headOutcome == Outcome.READ)
                 loop.schedule(loop.nowMs() + READ_BODY_TIMEOUT_MS, () -> loop.runAfterInput(this::endReadWithoutBody));
         }
@@ -109,22 +110,36 @@
         @Override
         public void body(ByteBuffer part) {
             if (headOutcome == Outcome.SERVED) {
-                if (!events.feed(part, listener::event)) hasFraming = false;
+                if (!events.feed(part, listener::event)) abortInvalidStream();
             } else if (textBody.size() < MAX_TEXT_BYTES) {
                 while (part.hasRemaining()) textBody.write(part.get());
             }
         }
 
+        private void abortInvalidStream() {
+            call.abort();
+            call.recordFlaw("not a stream of events");
+            finish(Outcome.RESET, 0);
+        }
+
         @Override
         public void end() {
+            if (ended) return;
             ended = true;
             if (invalidRequest) {
                 listener.rejected();
                 return;
             }
-            if (headOutcome == Outcome.SERVED && hasFraming && events.remainder().length > 0)
-                listener.event(events.remainder());
-            finish(headOutcome == Outcome.SERVED && !hasFraming ? Outcome.RESET : headOutcome, cachedTokens());
+            if (headOutcome == Outcome.SERVED) endStream();
+            else finish(headOutcome, cachedTokens());
+        }
+
+        /** Ends a stream. It is complete only if both its framing and its last event say so. */
+        private void endStream() {
+            boolean whole = endIsProof && events.isWhole();
+            if (!whole) call.recordFlaw("ended without its last event");
+            if (whole && events.remainder().length > 0) listener.event(events.remainder());
+            finish(whole ? Outcome.SERVED : Outcome.RESET, 0);
         }
 
         private double cachedTokens() {
--- a/src/main/java/maplerail/net/EventSplitter.java
+++ b/src/main/java/maplerail/net/EventSplitter.java
@@ -2,33 +2,45 @@
 
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.Set;
 import java.util.function.Consumer;
 
 /**
- * Splits a stream of server-sent events after each blank line. Guards against forwarding part of an event when a stream
- * breaks: the client would have to count a token that it cannot parse.
+ * Splits a stream of server-sent events after each blank line, and tells whether the stream is whole. Guards against
+ * forwarding part of an event when a stream breaks: the client would have to count a token that it cannot parse.
  */
 final class EventSplitter {
     /** Limits the size of an incomplete event. */
     private static final int MAX_EVENT_BYTES = 256 * 1024;
+    /** The bytes of a line that are kept: enough to recognize the last event and each field name. */
+    private static final int KEPT_LINE_BYTES = 16;
+    private static final Set<String> FIELD_NAMES = Set.of("data", "event", "id", "retry");
+    private static final Set<String> LAST_EVENT_LINES = Set.of("data: [DONE]", "data:[DONE]");
+
     private final ByteArrayOutputStream pending = new ByteArrayOutputStream();
-    private boolean lineEmpty = true;
+    /** The first bytes of the current line, and whether a colon has been read in it. */
+    private final ByteArrayOutputStream lineStart = new ByteArrayOutputStream(KEPT_LINE_BYTES);
+    private int lineLength;
+    private boolean lineHasColon;
+    private boolean lastEventSeen;
+    private boolean valid = true;
 
     /**
-     * Passes all events that are complete now to the consumer, in one part. Returns false if an incomplete event
-     * exceeds the limit.
+     * Passes all events that are complete now to the consumer, in one part. Returns false if the bytes are no stream of
+     * events, or if an incomplete event exceeds the limit.
      */
     boolean feed(ByteBuffer part, Consumer<byte[]> consumer) {
         byte[] bytes = new byte[part.remaining()];
         part.get(bytes);
         int end = 0;
-        for (int i = 0; i < bytes.length; i++) {
-            if (bytes[i] == '\n') {
-                if (lineEmpty) end = i + 1;
-                lineEmpty = true;
-            } else if (bytes[i] != '\r') {
-                lineEmpty = false;
+        for (int i = 0; i < bytes.length && valid; i++) {
+            if (bytes[i] != '\n') {
+                addToLine(bytes[i]);
+                continue;
             }
+            if (lineLength == 0) end = i + 1;
+            else endLine();
         }
         pending.write(bytes, 0, end);
         if (end > 0) {
@@ -37,7 +49,37 @@
             consumer.accept(events);
         }
         pending.write(bytes, end, bytes.length - end);
-        return pending.size() <= MAX_EVENT_BYTES;
+        return valid && pending.size() <= MAX_EVENT_BYTES;
+    }
+
+    private void addToLine(byte next) {
+        if (next == '\r') return;
+        lineLength++;
+        lineHasColon |= next == ':';
+        if (lineStart.size() < KEPT_LINE_BYTES) lineStart.write(next);
+    }
+
+    /** Checks a line: one that is no field shows that the chunks of the stream were not what they said to be. */
+    private void endLine() {
+        String start = lineStart();
+        if (!lineHasColon && !FIELD_NAMES.contains(start)) valid = false;
+        if (!start.startsWith(":")) lastEventSeen = isLastEvent();
+        lineStart.reset();
+        lineLength = 0;
+        lineHasColon = false;
+    }
+
+    private String lineStart() {
+        return lineStart.toString(StandardCharsets.ISO_8859_1);
+    }
+
+    private boolean isLastEvent() {
+        return lineLength == lineStart.size() && LAST_EVENT_LINES.contains(lineStart());
+    }
+
+    /** Returns true if the stream may end here: what has been received last is the last event of an answer. */
+    boolean isWhole() {
+        return valid && (lineLength == 0 ? lastEventSeen : isLastEvent());
     }
 
     /** Returns the bytes received after the last complete event. */
--- a/src/main/java/maplerail/net/ResponseParser.java
+++ b/src/main/java/maplerail/net/ResponseParser.java
@@ -141,12 +141,25 @@
                 finishElement();
                 handler.body(ByteBuffer.wrap(complete));
             }
-            default -> {
-                if (text.isEmpty()) state = State.DONE; // end of the trailers, which are not used
-            }
+            default -> parseTrailer(text);
         }
     }
 
+    /** Checks a trailer, which is not used otherwise; an empty line ends the response. */
+    private void parseTrailer(String text) throws IOException {
+        if (text.isEmpty()) state = State.DONE;
+        else checkField(text);
+    }
+
+    private int checkField(String text) throws IOException {
+        int colon = text.indexOf(':');
+        if (colon <= 0 || !text.substring(0, colon).matches("[!#$%&'*+.^_`|~0-9A-Za-z-]+")) {
+            throw new IOException("invalid header field");
+        }
+        if (++fieldCount > MAX_HEADER_FIELDS) throw new IOException("too many header fields");
+        return colon;
+    }
+
     private void finishElement() {
         partial = false;
         headBytes = 0;
@@ -171,11 +184,7 @@
         } else if (text.isEmpty()) {
             completeHead();
         } else {
-            int colon = text.indexOf(':');
-            if (colon <= 0 || !text.substring(0, colon).matches("[!#$%&'*+.^_`|~0-9A-Za-z-]+")) {
-                throw new IOException("invalid header field");
-            }
-            if (++fieldCount > MAX_HEADER_FIELDS) throw new IOException("too many header fields");
+            int colon = checkField(text);
             headers.add(new HttpString(text.substring(0, colon)), text.substring(colon + 1).trim());
         }
     }
--- a/src/test/java/maplerail/front/ClientListenerTest.java
+++ b/src/test/java/maplerail/front/ClientListenerTest.java
@@ -71,6 +71,7 @@
             assertThat(GatewayFixture.readAll(incompleteHead.getInputStream())).startsWith("HTTP/1.1 408");
             assertThat(GatewayFixture.readAll(incompleteBody.getInputStream())).startsWith("HTTP/1.1 408");
             open.chunk("data: two\n\n");
+            open.chunk("data: [DONE]\n\n");
             open.endStream();
             assertThat(GatewayFixture.readAll(complete.getInputStream())).contains("data: one\n\n")
                     .endsWith("\r\n0\r\n\r\n");
