Read client connections on past the limit for pipelined bytes, refusing what is not kept

Callers saw: requests sent to engines 0.5 to 1.5 s after their client had closed its connection. Cause: beyond 544 KB of pipelined bytes (16 KB while memory is short) a connection was not read any more, and a single read of 8 KB preceded an attempt. A close shows only behind everything that was sent, so it stayed unseen, and each request that was held was sent in its turn. Class: a close is known only as the end of what was read. Change: the connection is always read. Beyond the limit only the framing of requests is followed (RequestFraming), each is counted and refused with 503 in its turn (PipelinedRequests), so none is left without an answer and nothing grows. Before each attempt all that the system holds of the connection is read. What is not kept is read at 64 KB in 2 ms. Why it works: no state is left in which a request of the HTTP front may be sent and its connection is not read to its end.

--- a/src/main/java/maplerail/front/ArrivalLog.java
+++ b/src/main/java/maplerail/front/ArrivalLog.java
@@ -23,6 +23,13 @@
         received += count;
     }
 
+    /** Forgets the last bytes that were read: they are not kept, and no request begins in them. */
+    void discardLast(long count) {
+        if (stopped) return;
+        received -= count;
+        while (!chunks.isEmpty() && chunks.peekLast().offset >= received) chunks.pollLast();
+    }
+
     /** Ends the current request; the last {@code unread} bytes that were read belong to later requests. */
     void requestEnded(long unread) {
         long nextOffset = received - unread;
--- a/src/main/java/maplerail/front/ClientListener.java
+++ b/src/main/java/maplerail/front/ClientListener.java
@@ -217,6 +217,12 @@
         return extra == null ? 0 : extra.getBuffer().remaining();
     }
 
+    /** Records that the last bytes that were read from a client are not kept. */
+    public void onBytesDropped(HttpServerConnection connection, int count) {
+        ClientConnection client = clients.get(connection.getChannel());
+        if (client != null) client.arrivals.discardLast(count);
+    }
+
     /** Records that a request waits to be handled: however long that takes, its client has not stalled. */
     public void onQueued(HttpServerExchange exchange) {
         ClientConnection client = find(exchange);
--- a/src/main/java/maplerail/front/platform/HttpAnswer.java
+++ b/src/main/java/maplerail/front/platform/HttpAnswer.java
@@ -13,6 +13,7 @@
 import maplerail.core.Caller;
 import maplerail.core.ClientMemory;
 import maplerail.core.ClientMemory.Kind;
+import maplerail.core.EventLoop;
 import maplerail.core.RequestHandle;
 import maplerail.core.ServiceCounters;
 import org.slf4j.Logger;
@@ -30,11 +31,17 @@
         END_OF_INPUT, READ_FAILED, WRITE_FAILED
     }
 
+    /** Bytes that are read from a connection before others get their turn. */
+    private static final int READ_BYTES_PER_TURN = 64 * 1024;
+    /** More than the system holds of a connection: a client of which so much can be read has not left. */
+    private static final int MAX_READ_BYTES = 8 << 20;
+    private static final double DROPPED_READ_INTERVAL_MS = 2; // between turns that read what is not kept
     private static final int MAX_PENDING_BYTES = 64 * 1024; // that the client has not read yet
     private static final int MAX_PENDING_BYTES_WHEN_SHORT = 4 * 1024; // while memory is short
 
     private final HttpServerExchange exchange;
-    private final PipelinedBytes pipelined;
+    private final PipelinedRequests pipelined;
+    private final EventLoop loop;
     private final ServiceCounters counters;
     private final ClientMemory memory;
     private final ArrayDeque<ByteBuffer> pendingChunks = new ArrayDeque<>();
@@ -45,9 +52,16 @@
     private boolean ending;
     private boolean finished;
 
-    HttpAnswer(HttpServerExchange exchange, PipelinedBytes pipelined, ServiceCounters counters, ClientMemory memory) {
+    /**
+     * Creates the answer to a request.
+     *
+     * @param pipelined what its client has sent after the request
+     */
+    HttpAnswer(HttpServerExchange exchange, PipelinedRequests pipelined, EventLoop loop, ServiceCounters counters,
+            ClientMemory memory) {
         this.exchange = exchange;
         this.pipelined = pipelined;
+        this.loop = loop;
         this.counters = counters;
         this.memory = memory;
     }
@@ -69,8 +83,8 @@
     void watchForDisconnect() {
         if (!(exchange.getConnection() instanceof HttpServerConnection connection)) return;
         StreamSourceConduit rawSource = connection.getOriginalSourceConduit();
-        connection.getChannel().getSourceChannel().setReadListener(channel -> pollInput(connection, rawSource));
-        pollInput(connection, rawSource);
+        connection.getChannel().getSourceChannel().setReadListener(channel -> onReadable(connection, rawSource));
+        readInput(connection, rawSource, MAX_READ_BYTES);
         if (!finished) rawSource.resumeReads();
     }
 
@@ -79,28 +93,39 @@
         boolean canRead = !finished && exchange.getConnection() instanceof HttpServerConnection;
         if (canRead) {
             HttpServerConnection connection = (HttpServerConnection) exchange.getConnection();
-            pollInput(connection, connection.getOriginalSourceConduit());
+            readInput(connection, connection.getOriginalSourceConduit(), MAX_READ_BYTES);
         }
         return finished;
     }
 
-    private void pollInput(HttpServerConnection connection, StreamSourceConduit rawSource) {
+    private void onReadable(HttpServerConnection connection, StreamSourceConduit rawSource) {
+        if (!finished) readInput(connection, rawSource, READ_BYTES_PER_TURN);
         if (finished) {
             rawSource.suspendReads(); // further bytes belong to the next request, which the server reads
-            return;
+        } else if (pipelined.isDropping()) {
+            rawSource.suspendReads();
+            loop.schedule(loop.nowMs() + DROPPED_READ_INTERVAL_MS, () -> {
+                if (!finished) rawSource.resumeReads();
+            });
         }
-        PooledByteBuffer received = connection.getByteBufferPool().allocate();
-        try {
-            int count = rawSource.read(received.getBuffer());
-            if (count < 0) onClientLeft(Left.END_OF_INPUT);
-            if (count <= 0) return;
-            received.getBuffer().flip();
-            // The client is pipelining. Reading continues, as an end of input would only show behind these bytes.
-            if (!pipelined.add(connection, received.getBuffer())) rawSource.suspendReads();
+    }
+
+    /**
+     * Reads what the client has sent, up to about {@code maxBytes}. The client may be pipelining, and an end of input
+     * would only show behind all these bytes.
+     */
+    private void readInput(HttpServerConnection connection, StreamSourceConduit rawSource, int maxBytes) {
+        try (PooledByteBuffer received = connection.getByteBufferPool().allocate()) {
+            int readBytes = 0;
+            while (!finished && readBytes < maxBytes) {
+                int count = rawSource.read(received.getBuffer().clear());
+                if (count < 0) onClientLeft(Left.END_OF_INPUT);
+                if (count <= 0) return;
+                readBytes += count;
+                pipelined.add(received.getBuffer().flip());
+            }
         } catch (IOException e) {
             onClientLeft(Left.READ_FAILED);
-        } finally {
-            received.close();
         }
     }
 
@@ -108,7 +133,7 @@
     private void finish() {
         finished = true;
         countPending(-pendingBytes);
-        if (exchange.getConnection() instanceof HttpServerConnection connection) pipelined.recount(connection);
+        pipelined.recount();
     }
 
     private void countPending(int bytes) {
@@ -227,10 +252,10 @@
      * names them.
      */
     private void logPipelinedRequests() {
-        if (!(exchange.getConnection() instanceof HttpServerConnection connection)) return;
-        List<String> pipelinedIds = PipelinedBytes.requestIds(connection);
-        if (!pipelinedIds.isEmpty())
-            LOG.info("request {}: closing its connection drops the pipelined requests {}", requestId(), pipelinedIds);
+        List<String> pipelinedIds = pipelined.heldIds();
+        if (pipelinedIds.isEmpty()) return;
+        LOG.info("request {}: closing its connection drops the pipelined requests {} and {} that were not kept",
+                requestId(), pipelinedIds, pipelined.droppedRequests());
     }
 
     private String requestId() {
--- a/src/main/java/maplerail/front/platform/PlatformFront.java
+++ b/src/main/java/maplerail/front/platform/PlatformFront.java
@@ -6,6 +6,8 @@
 import io.undertow.util.Headers;
 import io.undertow.util.Methods;
 import io.undertow.util.SameThreadExecutor;
+import java.util.HashMap;
+import java.util.Map;
 import maplerail.config.NameTables;
 import maplerail.core.ServiceRequest;
 import maplerail.core.Broker;
@@ -26,6 +28,11 @@
     public static final int MAX_BODY_BYTES = 256 * 1024;
     private static final double YIELD_RETRY_MS = 500; // retry advice for a request that had to yield its memory
 
+    /** What became of a request that was sent behind another one. */
+    private enum Pipelined {
+        NOT_KEPT
+    }
+
     private final Broker broker;
     private final RequestParser parser;
     private final Lifecycle lifecycle;
@@ -34,7 +41,7 @@
     private final RequestThrottle throttle;
     /** The longest deadline of all classes; a request may take no longer to arrive, whatever its client asks for. */
     private final double maxDeadlineMs;
-    private final PipelinedBytes pipelined;
+    private final Map<HttpServerConnection, PipelinedRequests> pipelinedByConnection = new HashMap<>();
     private ClientListener listener;
 
     /**
@@ -51,7 +58,6 @@
         this.lifecycle = lifecycle;
         this.loop = loop;
         this.memory = memory;
-        this.pipelined = new PipelinedBytes(memory);
         this.throttle = new RequestThrottle(loop);
         this.maxDeadlineMs = maxDeadlineMs;
     }
@@ -64,20 +70,50 @@
     @Override
     public void handleRequest(HttpServerExchange exchange) {
         listener.onRequestHead(exchange);
-        if (exchange.getConnection() instanceof HttpServerConnection connection) pipelined.recount(connection);
+        PipelinedRequests pipelined = pipelined((HttpServerConnection) exchange.getConnection());
+        pipelined.recount();
+        exchange.addExchangeCompleteListener((completed, proceed) -> {
+            pipelined.onRequestAnswered();
+            proceed.proceed();
+        });
         if (throttle.tryHandleNow()) {
-            handle(exchange);
+            handle(exchange, pipelined);
             return;
         }
         listener.onQueued(exchange);
-        exchange.dispatch(throttle, this::handle);
+        exchange.dispatch(throttle, queued -> handle(queued, pipelined));
+    }
+
+    private PipelinedRequests pipelined(HttpServerConnection connection) {
+        return pipelinedByConnection.computeIfAbsent(connection, added -> {
+            PipelinedRequests pipelined = new PipelinedRequests(added, memory,
+                    bytes -> listener.onBytesDropped(added, bytes));
+            added.addCloseListener(closed -> {
+                pipelined.onClosed();
+                pipelinedByConnection.remove(added);
+            });
+            return pipelined;
+        });
     }
 
-    private void handle(HttpServerExchange exchange) {
+    private void handle(HttpServerExchange exchange, PipelinedRequests pipelined) {
         listener.onDequeued(exchange);
         if (lifecycle.phase().isShuttingDown()) exchange.getResponseHeaders().put(Headers.CONNECTION, "close");
-        HttpAnswer answer = new HttpAnswer(exchange, pipelined, broker.counters(), memory);
-        exchange.dispatch(SameThreadExecutor.INSTANCE, () -> new IncomingRequest(exchange, answer).start());
+        HttpAnswer answer = new HttpAnswer(exchange, pipelined, loop, broker.counters(), memory);
+        exchange.dispatch(SameThreadExecutor.INSTANCE, () -> {
+            if (pipelined.isPlaceholder()) refuseNotKept(exchange, pipelined, answer);
+            else new IncomingRequest(exchange, answer).start();
+        });
+    }
+
+    /** Refuses a request that was not kept, once it has arrived. */
+    private void refuseNotKept(HttpServerExchange exchange, PipelinedRequests pipelined, HttpAnswer answer) {
+        pipelined.whenRequestHasArrived(() -> {
+            if (pipelined.mustCloseAfterwards()) exchange.setPersistent(false);
+            broker.counters().count(Pipelined.NOT_KEPT);
+            answer.refuse(Caller.Why.OVERLOAD, YIELD_RETRY_MS);
+        });
+        if (!answer.isFinished()) answer.watchForDisconnect();
     }
 
     /** A request whose body arrives. It is submitted once it is complete, unless it is answered before. */
--- a/src/test/java/maplerail/cli/DepartedClientIT.java
+++ b/src/test/java/maplerail/cli/DepartedClientIT.java
@@ -41,6 +41,8 @@
     private final Map<String, Integer> writes = new ConcurrentHashMap<>();
     private final List<Attempt> writeTimes = new CopyOnWriteArrayList<>();
 
+    private volatile double readMs = READ_MS;
+
     private static double nowMs() {
         return System.nanoTime() / 1e6;
     }
@@ -52,7 +54,7 @@
                 return;
             }
             reads.add(new Attempt(exchange.headers.get("req-id"), nowMs()));
-            GatewayFixture.pause(READ_MS);
+            GatewayFixture.pause(readMs);
             exchange.reply(202, "{\"cached_tokens\":0}");
         });
     }
@@ -100,9 +102,9 @@
 
     /** Sends requests at once, stays for a while and leaves; returns when it left. */
     private static double sendAndLeave(int port, int bytes, boolean reset) throws Exception {
+        byte[] sent = requests(bytes);
         try (Socket socket = new Socket("127.0.0.1", port)) {
-            Thread sender = new Thread(() -> send(socket, requests(bytes)));
-            sender.start();
+            new Thread(() -> send(socket, sent)).start();
             GatewayFixture.pause(STAY_MS);
             if (reset) socket.setSoLinger(true, 0);
             return nowMs();
@@ -155,12 +157,35 @@
     @ParameterizedTest
     @ValueSource(ints = {400_000, 3_000_000})
     void everyRequestOfAClientThatStaysIsAnswered(int bytes) throws Exception {
+        readMs = 0;
         byte[] sent = requests(bytes);
         int expected = new String(sent, StandardCharsets.ISO_8859_1).split("POST /v1", -1).length - 1;
         withGateway((gateway, port) -> {
             try (Socket socket = new Socket("127.0.0.1", port)) {
                 new Thread(() -> send(socket, sent)).start();
                 assertThat(countAnswers(socket, expected)).as(gateway.log()).isEqualTo(expected);
+                send(socket, request(expected).getBytes(StandardCharsets.ISO_8859_1));
+                assertThat(GatewayFixture.readUntil(socket, "HTTP/1.1 200")).as("the connection serves again")
+                        .endsWith("HTTP/1.1 200");
+            }
+        });
+    }
+
+    /** Guards against a client that is never answered because the request that was not kept never ends. */
+    @ParameterizedTest
+    @ValueSource(strings = {"POST / HTTP/1.1\r\nContent-Length: 100000\r\n\r\nhalf", "noise\r\n\r\n", "POST / HT"})
+    void aClientThatEndsWithAnIncompleteRequestIsAnsweredAndClosed(String end) throws Exception {
+        readMs = 0;
+        byte[] sent = requests(600_000);
+        int expected = new String(sent, StandardCharsets.ISO_8859_1).split("POST /v1", -1).length - 1;
+        withGateway((gateway, port) -> {
+            try (Socket socket = new Socket("127.0.0.1", port)) {
+                new Thread(() -> {
+                    send(socket, sent);
+                    send(socket, end.getBytes(StandardCharsets.ISO_8859_1));
+                }).start();
+                String answers = GatewayFixture.readAll(socket.getInputStream());
+                assertThat(answers.split("HTTP/1\\.1 [2-5]", -1)).as(gateway.log()).hasSize(expected + 2);
             }
         });
     }
