Do not run an unsafe id again that comes back after its client has left

Callers saw: an id that ran twice: once for the connection that its client had left, once for the next one. Cause: an id was known only while its request was open. A booking whose write was out when its client left may have run; once it was closed, the same id on a new connection was taken for a new request. Class: the rule on repeats was kept within one request object, though the protocol states it of the id.

--- a/src/main/java/maplerail/core/Broker.java
+++ b/src/main/java/maplerail/core/Broker.java
@@ -46,7 +46,7 @@
         heldStates = new HeldStates(transport, loop, fleet, answerTimes, settings.rules().pinLimitMs(), monitor,
                 counters, log);
         registry = new RequestRegistry(heldStates, loop, quotas, settings.rules(), monitor);
-        admission = new Admission(loop, registry);
+        admission = new Admission(loop, registry, settings.classes());
         failureLog = new FailureLog(loop, log);
         relay = new Relay(registry, loop, failureLog, counters);
         runner = new AttemptRunner(transport, loop, fleet, answerTimes, registry, heldStates, relay, settings, monitor,
--- a/src/main/java/maplerail/front/platform/HttpAnswer.java
+++ b/src/main/java/maplerail/front/platform/HttpAnswer.java
@@ -275,7 +275,7 @@
     public void fail(Why why) {
         switch (why) {
             case INVALID -> respond(400, "not a valid request");
-            case DUPLICATE -> respond(409, "Req-Id: open already");
+            case DUPLICATE -> respond(409, "Req-Id: open already, or it may have run");
             case DEADLINE -> respond(504, "no answer in time");
             default -> respond(502, "failed, it may have run");
         }
--- a/src/test/java/maplerail/cli/DepartedClientIT.java
+++ b/src/test/java/maplerail/cli/DepartedClientIT.java
@@ -27,6 +27,7 @@
     private static final double STAY_MS = 100;
     private static final double OBSERVATION_MS = 1_500;
     private static final double READ_MS = 500;
+    private static final double WRITE_MS = 200;
     private static final int REQUEST_BYTES = 2_500;
     private static final int REPEATED_REQUESTS = 10;
     private static final int ANSWER_TIMEOUT_MS = 15_000;
@@ -42,6 +43,7 @@
     private final List<Attempt> writeTimes = new CopyOnWriteArrayList<>();
 
     private volatile double readMs = READ_MS;
+    private volatile double writeMs;
 
     private static double nowMs() {
         return System.nanoTime() / 1e6;
@@ -67,6 +69,7 @@
             }
             writes.merge(exchange.headers.get("req-id"), 1, Integer::sum);
             writeTimes.add(new Attempt(exchange.headers.get("req-id"), nowMs()));
+            GatewayFixture.pause(writeMs);
             exchange.startStream();
             exchange.chunk("data: {\"a\":1}\n\n");
             exchange.chunk("data: [DONE]\n\n");
@@ -153,6 +156,27 @@
         });
     }
 
+    /** Guards against running an unsafe request again that may have run before its client left. */
+    @ParameterizedTest
+    @CsvSource({"repair-order,false,409,1", "repair-order,true,409,1", "lookup,false,200,2"})
+    void anIdWhoseWriteWasOutWhenItsClientLeftRunsAgainOnlyIfItIsSafe(String kind, boolean reset, int status, int runs)
+            throws Exception {
+        readMs = 0;
+        writeMs = WRITE_MS;
+        String request = GatewayFixture.request("w1", kind, "6.000");
+        withGateway((gateway, port) -> {
+            try (Socket socket = new Socket("127.0.0.1", port)) {
+                send(socket, request.getBytes(StandardCharsets.ISO_8859_1));
+                GatewayFixture.await("the write is out", () -> writes.containsKey("w1"));
+                if (reset) socket.setSoLinger(true, 0);
+            }
+            GatewayFixture.await("the client is known to have left", () -> gateway.log().contains("abandoned"));
+            GatewayFixture.pause(WRITE_MS); // so that the request of the client that left is closed
+            assertThat(gateway.exchange(request)).as(gateway.log()).startsWith("HTTP/1.1 " + status);
+            assertThat(writes).as(gateway.log()).containsEntry("w1", runs);
+        });
+    }
+
     /** Guards against requests that are dropped without an answer once their client has sent more than is held. */
     @ParameterizedTest
     @ValueSource(ints = {400_000, 3_000_000})
