--- a/src/main/java/maplerail/net/EventSplitter.java
+++ b/src/main/java/maplerail/net/EventSplitter.java
@@ -19,10 +19,11 @@
     private static final Set<String> LAST_EVENT_LINES = Set.of("data: [DONE]", "data:[DONE]");
 
     private final ByteArrayOutputStream pending = new ByteArrayOutputStream();
-    /** The first bytes of the current line, and whether a colon has been read in it. */
-    private final ByteArrayOutputStream lineStart = new ByteArrayOutputStream(KEPT_LINE_BYTES);
+    /** The first bytes of the current line. */
+    private final byte[] lineStart = new byte[KEPT_LINE_BYTES];
     private int lineLength;
     private boolean lineHasColon;
+    private boolean lineEndsWithCarriageReturn;
     private boolean lastEventSeen;
     private boolean valid = true;
 
@@ -34,14 +35,16 @@
         byte[] bytes = new byte[part.remaining()];
         part.get(bytes);
         int end = 0;
+        int lineBegin = 0;
         for (int i = 0; i < bytes.length && valid; i++) {
-            if (bytes[i] != '\n') {
-                addToLine(bytes[i]);
-                continue;
-            }
-            if (lineLength == 0) end = i + 1;
-            else endLine();
+            if (bytes[i] != '\n') continue;
+            addToLine(bytes, lineBegin, i);
+            lineBegin = i + 1;
+            if (isBlankLine()) end = lineBegin;
+            else checkLine();
+            startLine();
         }
+        if (valid) addToLine(bytes, lineBegin, bytes.length);
         pending.write(bytes, 0, end);
         if (end > 0) {
             byte[] events = pending.toByteArray();
@@ -52,34 +55,49 @@
         return valid && pending.size() <= MAX_EVENT_BYTES;
     }
 
-    private void addToLine(byte next) {
-        if (next == '\r') return;
-        lineLength++;
-        lineHasColon |= next == ':';
-        if (lineStart.size() < KEPT_LINE_BYTES) lineStart.write(next);
+    private void addToLine(byte[] bytes, int from, int to) {
+        if (from == to) return;
+        for (int i = from; i < to && lineLength + i - from < KEPT_LINE_BYTES; i++) {
+            lineStart[lineLength + i - from] = bytes[i];
+        }
+        for (int i = from; i < to && !lineHasColon; i++) lineHasColon = bytes[i] == ':';
+        lineLength += to - from;
+        lineEndsWithCarriageReturn = bytes[to - 1] == '\r';
     }
 
-    /** Checks a line: one that is no field shows that the chunks of the stream were not what they said to be. */
-    private void endLine() {
-        String start = lineStart();
-        if (!lineHasColon && !FIELD_NAMES.contains(start)) valid = false;
-        if (!start.startsWith(":")) lastEventSeen = isLastEvent();
-        lineStart.reset();
+    private void startLine() {
         lineLength = 0;
         lineHasColon = false;
+        lineEndsWithCarriageReturn = false;
+    }
+
+    /** Returns the length of the current line without its end. */
+    private int textLength() {
+        return lineEndsWithCarriageReturn ? lineLength - 1 : lineLength;
+    }
+
+    private boolean isBlankLine() {
+        return textLength() == 0;
+    }
+
+    /** Checks a line: one that is no field shows that the chunks of the stream were not what they said to be. */
+    private void checkLine() {
+        if (!lineHasColon && !FIELD_NAMES.contains(lineText())) valid = false;
+        if (lineStart[0] != ':') lastEventSeen = isLastEvent();
     }
 
-    private String lineStart() {
-        return lineStart.toString(StandardCharsets.ISO_8859_1);
+    /** Returns the current line, or the first bytes of a longer one. */
+    private String lineText() {
+        return new String(lineStart, 0, Math.min(textLength(), KEPT_LINE_BYTES), StandardCharsets.ISO_8859_1);
     }
 
     private boolean isLastEvent() {
-        return lineLength == lineStart.size() && LAST_EVENT_LINES.contains(lineStart());
+        return textLength() < KEPT_LINE_BYTES && LAST_EVENT_LINES.contains(lineText());
     }
 
     /** Returns true if the stream may end here: what has been received last is the last event of an answer. */
     boolean isWhole() {
-        return valid && (lineLength == 0 ? lastEventSeen : isLastEvent());
+        return valid && (isBlankLine() ? lastEventSeen : isLastEvent());
     }
 
     /** Returns the bytes received after the last complete event. */
--- a/src/test/java/maplerail/cli/DepartedClientIT.java
+++ b/src/test/java/maplerail/cli/DepartedClientIT.java
@@ -144,6 +144,26 @@
         });
     }
 
+    /** Guards against an attempt that begins before the close behind its request is read. */
+    @ParameterizedTest
+    @CsvSource({"5000,false", "100000,false", "100000,true", "700000,false", "700000,true", "4000000,false"})
+    void noRequestOfAClientThatLeftWhileTheGatewayStoodStillIsSent(int bytes, boolean reset) throws Exception {
+        byte[] sent = requests(bytes);
+        withGateway((gateway, port) -> {
+            gateway.signal("STOP");
+            try (Socket socket = new Socket("127.0.0.1", port)) {
+                new Thread(() -> send(socket, sent)).start();
+                GatewayFixture.pause(STAY_MS);
+                if (reset) socket.setSoLinger(true, 0);
+            }
+            GatewayFixture.pause(MAX_ATTEMPT_AFTER_CLOSE_MS);
+            gateway.signal("CONT");
+            GatewayFixture.pause(OBSERVATION_MS);
+            assertThat(reads).as(gateway.log()).isEmpty();
+            assertThat(writes).as(gateway.log()).isEmpty();
+        });
+    }
+
     /** Guards against serving an id both for the connection that was closed and for the one on which it comes again. */
     @ParameterizedTest
     @ValueSource(booleans = {false, true})
