Reject request bodies in invalid chunks

Bad clients saw: a body whose chunk size cannot be read was served, and a request hidden behind it was passed on to engines. Cause: the server's chunk reader takes such a size for the last chunk and skips what follows a chunk. Class: lenient framing. Change: RequestFraming follows each chunked body as it is read; where it disagrees with the server, the request is answered with 400 and its connection closed.

--- a/src/main/java/maplerail/front/ArrivalConduit.java
+++ b/src/main/java/maplerail/front/ArrivalConduit.java
@@ -2,6 +2,8 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.util.Arrays;
+import java.util.function.Consumer;
 import maplerail.core.EventLoop;
 import org.xnio.conduits.AbstractStreamSourceConduit;
 import org.xnio.conduits.StreamSourceConduit;
@@ -14,6 +16,8 @@
     private final EventLoop loop;
     private final ArrivalLog arrivals;
     private final Runnable onBytes;
+    /** Sees all bytes that are read; may be null. */
+    private Consumer<ByteBuffer> tap;
     /** The latest time at which every byte that had arrived is known to have been read. */
     private double lastEmptyMs;
     /**
@@ -37,22 +41,35 @@
         this.onBytes = onBytes;
     }
 
+    /** Sets what sees all bytes that are read from now on; null for nothing. */
+    void setTap(Consumer<ByteBuffer> tap) {
+        this.tap = tap;
+    }
+
     @Override
     public int read(ByteBuffer buffer) throws IOException {
         double beforeMs = loop.nowMs();
+        int before = buffer.position();
         int count = super.read(buffer);
         onRead(count, beforeMs);
+        if (tap != null && count > 0) showToTap(buffer, before);
         return count;
     }
 
     @Override
     public long read(ByteBuffer[] buffer, int offset, int length) throws IOException {
         double beforeMs = loop.nowMs();
+        int[] before = Arrays.stream(buffer, offset, offset + length).mapToInt(ByteBuffer::position).toArray();
         long count = super.read(buffer, offset, length);
         onRead(count, beforeMs);
+        for (int i = 0; i < length && tap != null && count > 0; i++) showToTap(buffer[offset + i], before[i]);
         return count;
     }
 
+    private void showToTap(ByteBuffer buffer, int before) {
+        tap.accept(buffer.duplicate().limit(buffer.position()).position(before));
+    }
+
     private void onRead(long count, double beforeMs) {
         double inputSinceMs = loop.inputArrivedAfterMs();
         if (readingSinceMs <= inputSinceMs) lastEmptyMs = Math.max(lastEmptyMs, inputSinceMs);
--- a/src/main/java/maplerail/front/ClientListener.java
+++ b/src/main/java/maplerail/front/ClientListener.java
@@ -14,6 +14,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import maplerail.core.EventLoop;
 import maplerail.core.ServiceCounters;
 import maplerail.policy.ProtocolRules;
@@ -89,6 +90,7 @@
         State state = State.SILENT;
         double sinceMs;
         final ArrivalLog arrivals = new ArrivalLog();
+        ArrivalConduit source;
         /** When the last bytes were read, and how long the current request may take while more keep arriving. */
         double lastByteMs;
         double receiveTimeoutMs = RECEIVE_TIMEOUT_MS;
@@ -97,6 +99,7 @@
 
         /** Ends the current request: its exchange is complete, or the connection is closed. */
         void endRequest() {
+            source.setTap(null);
             requestEndAction.run();
             requestEndAction = () -> {};
         }
@@ -150,8 +153,9 @@
         client.sinceMs = loop.nowMs();
         clients.put(connection, client);
         StreamSourceConduit source = connection.getSourceChannel().getConduit();
-        connection.getSourceChannel().setConduit(
-                new ArrivalConduit(source, loop, client.arrivals, connectedSinceMs(), () -> onBytesRead(client)));
+        client.source = new ArrivalConduit(source, loop, client.arrivals, connectedSinceMs(),
+                () -> onBytesRead(client));
+        connection.getSourceChannel().setConduit(client.source);
         if (!checkScheduled) loop.schedule(loop.nowMs() + CHECK_INTERVAL_MS, this::checkConnections);
         checkScheduled = true;
         if (throttle.tryHandleNow()) {
@@ -217,6 +221,12 @@
         return extra == null ? 0 : extra.getBuffer().remaining();
     }
 
+    /** Sets what sees all bytes that are read from the exchange's client, until the request is complete; null for nothing. */
+    public void setInputTap(HttpServerExchange exchange, Consumer<ByteBuffer> tap) {
+        ClientConnection client = find(exchange);
+        if (client != null) client.source.setTap(tap);
+    }
+
     /** Records that the last bytes that were read from a client are not kept. */
     public void onBytesDropped(HttpServerConnection connection, int count) {
         ClientConnection client = clients.get(connection.getChannel());
@@ -256,6 +266,7 @@
 
     /** Records that a request is complete: its connection stays open until it is answered. */
     public void onRequestReceived(HttpServerExchange exchange) {
+        setInputTap(exchange, null);
         setState(exchange, State.IN_FLIGHT);
     }
 
--- a/src/main/java/maplerail/front/platform/BodyReader.java
+++ b/src/main/java/maplerail/front/platform/BodyReader.java
@@ -32,6 +32,12 @@
         /** The first bytes have been read and the body is not complete. */
         void incomplete();
 
+        /** Returns true if the framing of what has arrived is invalid. */
+        boolean isMalformed();
+
+        /** The framing of the body is invalid. */
+        void malformed();
+
         /** The body is larger than allowed. */
         void tooLarge();
 
@@ -108,6 +114,7 @@
                     complete();
                 } else if (count == 0) {
                     waitForInput();
+                    if (listener.isMalformed()) listener.malformed();
                     return;
                 } else {
                     onBytes(count);
@@ -116,7 +123,9 @@
         } catch (IOException e) {
             fail();
         }
-        if (state == State.READING) scheduleRead();
+        if (state != State.READING) return;
+        if (listener.isMalformed()) listener.malformed();
+        else scheduleRead();
     }
 
     /** Returns the free space of the last segment, after adding one if there is none. */
--- a/src/main/java/maplerail/front/platform/PlatformFront.java
+++ b/src/main/java/maplerail/front/platform/PlatformFront.java
@@ -1,5 +1,6 @@
 package maplerail.front.platform;
 
+import io.undertow.connector.PooledByteBuffer;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.protocol.http.HttpServerConnection;
@@ -121,6 +122,8 @@
         private final HttpServerExchange exchange;
         private final HttpAnswer answer;
         private final BodyReader body;
+        /** Follows a chunked body, as the server takes a chunk size that it can't read for 0; null for any other. */
+        private RequestFraming chunkFraming;
 
         IncomingRequest(HttpServerExchange exchange, HttpAnswer answer) {
             this.exchange = exchange;
@@ -140,10 +143,18 @@
                 tooLarge();
             } else {
                 extendReceiveTimeout();
+                if (exchange.getRequestHeaders().contains(Headers.TRANSFER_ENCODING)) followChunks();
                 body.start();
             }
         }
 
+        private void followChunks() {
+            chunkFraming = RequestFraming.ofChunkedBody();
+            PooledByteBuffer alreadyRead = ((HttpServerConnection) exchange.getConnection()).getExtraBytes();
+            if (alreadyRead != null) chunkFraming.read(alreadyRead.getBuffer().duplicate());
+            listener.setInputTap(exchange, chunkFraming::read);
+        }
+
         private void extendReceiveTimeout() {
             try {
                 listener.extendReceiveTimeout(exchange, Math.min(maxDeadlineMs, RequestParser.budgetMs(exchange)));
@@ -178,6 +189,16 @@
             }
         }
 
+        @Override
+        public boolean isMalformed() {
+            return chunkFraming != null && chunkFraming.completeBytes() == 0 && chunkFraming.isUnreadable();
+        }
+
+        @Override
+        public void malformed() {
+            answerNow(400, "the chunks of the body are invalid");
+        }
+
         @Override
         public void tooLarge() {
             answerNow(413, "the body is too large");
@@ -197,6 +218,11 @@
         @Override
         public void received(byte[] bodyBytes) {
             listener.onRequestReceived(exchange);
+            if (chunkFraming != null && chunkFraming.completeBytes() == 0) {
+                exchange.setPersistent(false);
+                answer.respond(400, "the chunks of the body are invalid");
+                return;
+            }
             ServiceRequest request;
             try {
                 request = parse(bodyBytes);
--- a/src/main/java/maplerail/front/platform/RequestFraming.java
+++ b/src/main/java/maplerail/front/platform/RequestFraming.java
@@ -5,8 +5,8 @@
 import java.util.Locale;
 
 /**
- * Follows the framing of requests of which nothing is kept: where each begins and ends. It is strict, as what follows a
- * request may be served: a head or a body whose end is in doubt makes everything behind it unreadable.
+ * Follows the framing of requests: where each begins and ends. It is strict, as what follows a request may be served: a
+ * head or a body whose end is in doubt makes everything behind it unreadable.
  */
 final class RequestFraming {
     /** Limits a head, and the lines around each chunk. */
@@ -38,6 +38,15 @@
     private long readBytes;
     private long completeBytes;
 
+    /** Returns the framing of a request of which the chunked body is to come. */
+    static RequestFraming ofChunkedBody() {
+        RequestFraming framing = new RequestFraming();
+        framing.startRequest();
+        framing.chunked = true;
+        framing.state = State.CHUNK_SIZE;
+        return framing;
+    }
+
     /** Reads all bytes of a buffer. */
     void read(ByteBuffer bytes) {
         while (bytes.hasRemaining()) {
