--- a/src/test/java/maplerail/policy/CellSharesTest.java
+++ b/src/test/java/maplerail/policy/CellSharesTest.java
@@ -2,9 +2,11 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.AbstractList;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.stream.IntStream;
 import maplerail.Router.Member;
 import maplerail.Router.State;
@@ -12,6 +14,7 @@
 
 class CellSharesTest {
     private static final int DRAWS = 10_000;
+    private static final int MAX_VISITS = 4; // of each engine for a choice
 
     private final SplittableRandom random = new SplittableRandom(1);
 
@@ -49,6 +52,36 @@
         assertThat(shareOfDraws(shares, 0, 0)).isBetween(0.47, 0.53);
     }
 
+    /** Guards against a cost that grows with the square of the number of engines. */
+    @Test
+    void eachEngineIsLookedAtAFewTimesPerChoice() {
+        int cells = 640;
+        int[] twoReaders = IntStream.range(0, cells).map(cell -> 2 + cell % 2).toArray();
+        int[] threeWriters = IntStream.range(0, cells).map(cell -> 3 - cell % 2).toArray();
+        AtomicLong visits = new AtomicLong();
+        List<Member> readers = counting(engines(twoReaders), visits);
+        List<Member> writers = counting(engines(threeWriters), visits);
+        int choices = 100;
+        for (int i = 0; i < choices; i++) new CellShares(readers, writers).nearCell(1, random);
+        assertThat(visits.get()).isLessThanOrEqualTo((long) choices * MAX_VISITS * (readers.size() + writers.size()));
+    }
+
+    /** A list that counts how often an element is looked at. */
+    private static List<Member> counting(List<Member> engines, AtomicLong visits) {
+        return new AbstractList<>() {
+            @Override
+            public Member get(int index) {
+                visits.incrementAndGet();
+                return engines.get(index);
+            }
+
+            @Override
+            public int size() {
+                return engines.size();
+            }
+        };
+    }
+
     @Test
     void otherCellsAreNearInProportionToTheirSurplus() {
         // Surpluses of 0.1 and 0.3.
