Move the reading of a client's input out of HttpAnswer

HttpAnswer had grown to write an answer and to watch its client. ClientInput now reads what a client sends while its request is in flight; HttpAnswer keeps the answer.

--- a/src/main/java/maplerail/front/platform/HttpAnswer.java
+++ b/src/main/java/maplerail/front/platform/HttpAnswer.java
@@ -1,6 +1,5 @@
 package maplerail.front.platform;
 
-import io.undertow.connector.PooledByteBuffer;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.protocol.http.HttpServerConnection;
 import io.undertow.util.Headers;
@@ -16,31 +15,23 @@
 import maplerail.core.EventLoop;
 import maplerail.core.RequestHandle;
 import maplerail.core.ServiceCounters;
+import maplerail.front.platform.ClientInput.Left;
 import maplerail.policy.ProtocolRules.ClientPresence;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.xnio.IoUtils;
 import org.xnio.channels.StreamSinkChannel;
-import org.xnio.conduits.StreamSourceConduit;
 
 /** The response to one open HTTP request: relays the stream as it arrives, or sends the one final answer. */
 final class HttpAnswer implements Caller {
     private static final Logger LOG = LoggerFactory.getLogger(HttpAnswer.class);
 
-    /** How it was detected that a client has left. */
-    private enum Left {
-        END_OF_INPUT, READ_FAILED, WRITE_FAILED
-    }
-
-    /** Bytes that are read and not kept before other connections get their turn. */
-    private static final int READ_BYTES_PER_TURN = 64 * 1024;
-    private static final double DROPPED_READ_INTERVAL_MS = 2; // between turns that read what is not kept
     private static final int MAX_PENDING_BYTES = 64 * 1024; // that the client has not read yet
     private static final int MAX_PENDING_BYTES_WHEN_SHORT = 4 * 1024; // while memory is short
 
     private final HttpServerExchange exchange;
     private final PipelinedRequests pipelined;
-    private final EventLoop loop;
+    private final ClientInput input;
     private final ServiceCounters counters;
     private final ClientMemory memory;
     private final ArrayDeque<ByteBuffer> pendingChunks = new ArrayDeque<>();
@@ -49,10 +40,6 @@
     private StreamSinkChannel sink;
     private boolean paused;
     private boolean ending;
-    /** Whether the last read found nothing more. */
-    private boolean allRead;
-    /** Before this time nothing is read that is not kept. */
-    private double nextDroppedReadMs;
     private boolean finished;
 
     /**
@@ -64,9 +51,10 @@
             ClientMemory memory) {
         this.exchange = exchange;
         this.pipelined = pipelined;
-        this.loop = loop;
         this.counters = counters;
         this.memory = memory;
+        this.input = new ClientInput((HttpServerConnection) exchange.getConnection(), pipelined, loop,
+                this::onClientLeft);
     }
 
     /** Sets the handle that is notified when the client leaves. */
@@ -78,66 +66,20 @@
         return finished;
     }
 
-    /**
-     * Checks now, and from now on, whether the client has closed its side of the connection. The server reads nothing
-     * between a request and its answer and would not notice. This reads the raw source, as the channel of the HTTP
-     * framing also reports an end of input at the end of the body.
-     */
+    /** Checks now, and from now on, whether the client has closed its side of the connection. */
     ClientPresence watchForDisconnect() {
-        if (!(exchange.getConnection() instanceof HttpServerConnection connection)) return ClientPresence.CONNECTED;
-        StreamSourceConduit rawSource = connection.getOriginalSourceConduit();
-        connection.getChannel().getSourceChannel().setReadListener(channel -> onReadable(connection, rawSource));
-        ClientPresence presence = presence();
-        if (!finished) rawSource.resumeReads();
-        return presence;
+        return input.watch();
     }
 
     @Override
     public ClientPresence presence() {
-        if (!finished && exchange.getConnection() instanceof HttpServerConnection connection) {
-            readInput(connection, connection.getOriginalSourceConduit());
-        }
-        if (finished) return ClientPresence.DISCONNECTED;
-        return allRead ? ClientPresence.CONNECTED : ClientPresence.UNKNOWN;
-    }
-
-    private void onReadable(HttpServerConnection connection, StreamSourceConduit rawSource) {
-        if (!finished) readInput(connection, rawSource);
-        if (finished) {
-            rawSource.suspendReads(); // further bytes belong to the next request, which the server reads
-        } else if (pipelined.isDropping()) {
-            rawSource.suspendReads();
-            loop.schedule(loop.nowMs() + DROPPED_READ_INTERVAL_MS, () -> {
-                if (!finished) rawSource.resumeReads();
-            });
-        }
-    }
-
-    /**
-     * Reads what the client has sent: all of it, as the client may be pipelining and an end of input would only show
-     * behind it, or what one turn allows once it is not kept.
-     */
-    private void readInput(HttpServerConnection connection, StreamSourceConduit rawSource) {
-        if (pipelined.isDropping() && !allRead && loop.nowMs() < nextDroppedReadMs) return;
-        try (PooledByteBuffer received = connection.getByteBufferPool().allocate()) {
-            int droppedBytes = 0;
-            while (!finished && droppedBytes < READ_BYTES_PER_TURN) {
-                int count = rawSource.read(received.getBuffer().clear());
-                if (count < 0) onClientLeft(Left.END_OF_INPUT);
-                allRead = count <= 0;
-                if (allRead) return;
-                if (pipelined.isDropping()) droppedBytes += count;
-                pipelined.add(received.getBuffer().flip());
-            }
-        } catch (IOException e) {
-            onClientLeft(Left.READ_FAILED);
-        }
-        nextDroppedReadMs = loop.nowMs() + DROPPED_READ_INTERVAL_MS;
+        return finished ? ClientPresence.DISCONNECTED : input.presence();
     }
 
     /** Marks the request as finished: later events and answers for it are ignored. */
     private void finish() {
         finished = true;
+        input.stop();
         countPending(-pendingBytes);
         pipelined.recount();
     }
--- a/src/test/java/maplerail/cli/UnfinishedStreamIT.java
+++ b/src/test/java/maplerail/cli/UnfinishedStreamIT.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
@@ -62,16 +63,18 @@
         }
     }
 
+    private static void breakOff(StandIn.Exchange exchange, String tail) throws IOException {
+        exchange.startStream();
+        exchange.chunk(EVENT);
+        exchange.write(TAILS.get(tail));
+        exchange.awaitClose();
+    }
+
     /** Guards against passing on a stream as complete because its framing alone has an end. */
     @ParameterizedTest
     @MethodSource("tails")
     void aStreamThatIsNotWholeIsNotEndedAsIfItWere(String tail) throws Exception {
-        withWriter(exchange -> {
-            exchange.startStream();
-            exchange.chunk(EVENT);
-            exchange.write(TAILS.get(tail));
-            exchange.awaitClose();
-        }, (gateway, port) -> {
+        withWriter(exchange -> breakOff(exchange, tail), (gateway, port) -> {
             String answer = gateway.exchange(GatewayFixture.request("s1", "repair-order", "4.0"));
             assertThat(answer).startsWith("HTTP/1.1 200").contains("part").doesNotEndWith(LAST_CHUNK);
         });
@@ -81,12 +84,7 @@
     @ParameterizedTest
     @MethodSource("tails")
     void aStreamThatIsNotWholeEndsAConnectionWithAnotherRequestBehindIt(String tail) throws Exception {
-        withWriter(exchange -> {
-            exchange.startStream();
-            exchange.chunk(EVENT);
-            exchange.write(TAILS.get(tail));
-            exchange.awaitClose();
-        }, (gateway, port) -> {
+        withWriter(exchange -> breakOff(exchange, tail), (gateway, port) -> {
             try (Socket client = new Socket("127.0.0.1", port)) {
                 String requests = GatewayFixture.request("s1", "repair-order", "4.0")
                         + GatewayFixture.request("s2", "repair-order", "4.0");
