Soak: a client that goes on on another connection has not left

Trace: the gateway logs the request as abandoned 431 ms after it was sent with 3,325 ms left, so at +631 ms: the client closed its second connection at +624, 424 ms after it was opened, as scheduled; the read began before that. The note at +424 comes from the task that was to close the first connection, which had ended without an answer. Cause: LoadClients did not mark the first exchange as over. The check and its bound are unchanged; a client that leaves its last connection is recorded as before.

--- a/src/test/java/maplerail/soak/LoadClients.java
+++ b/src/test/java/maplerail/soak/LoadClients.java
@@ -138,7 +138,10 @@
         } catch (IOException e) {
             DaemonThreads.closeQuietly(socket);
             if (answer.clientLeft) return true;
-            if (answer.status == 0 && kept && !ledger.hasBegun(request)) return false;
+            if (answer.status == 0 && kept && !ledger.hasBegun(request)) {
+                answer.done = true; // so that the client does not count as gone while it uses another connection
+                return false;
+            }
             handleClose(request, answer);
             return true;
         }
