Take only a chunk size among events for a spoilt stream, not every line without a colon

A stream of server-sent events may have lines that its readers ignore. Only a line that is the size of a chunk shows that an earlier size took in the next chunk's frame.

--- a/src/main/java/maplerail/net/EventSplitter.java
+++ b/src/main/java/maplerail/net/EventSplitter.java
@@ -13,9 +13,9 @@
 final class EventSplitter {
     /** Limits the size of an incomplete event. */
     private static final int MAX_EVENT_BYTES = 256 * 1024;
-    /** The bytes of a line that are kept: enough to recognize the last event and each field name. */
+    /** The bytes of a line that are kept: enough to recognize the last event and the size of a chunk. */
     private static final int KEPT_LINE_BYTES = 16;
-    private static final Set<String> FIELD_NAMES = Set.of("data", "event", "id", "retry");
+    private static final String CHUNK_SIZE_PATTERN = "[0-9a-fA-F]{1,8}";
     private static final Set<String> LAST_EVENT_LINES = Set.of("data: [DONE]", "data:[DONE]");
 
     private final ByteArrayOutputStream pending = new ByteArrayOutputStream();
@@ -80,9 +80,9 @@
         return textLength() == 0;
     }
 
-    /** Checks a line: one that is no field shows that the chunks of the stream were not what they said to be. */
+    /** Checks a line: the size of a chunk among the events shows that an earlier size was wrong. */
     private void checkLine() {
-        if (!lineHasColon && !FIELD_NAMES.contains(lineText())) valid = false;
+        if (!lineHasColon && lineText().matches(CHUNK_SIZE_PATTERN)) valid = false;
         if (lineStart[0] != ':') lastEventSeen = isLastEvent();
     }
 
