Let the head of a stream pause for as long as the stream itself

Callers saw: a request whose writer pauses for over 400 ms within the head of its answer failed with 502, though the writer went on. Cause: any head that is silent for 400 ms was given up; the limit is for readers, behind whose head a state is held. Class: as in the stall check of streams, an answer that is being written taken for one that has stopped. Why it works: once the status says 200, no state is held behind the head, and the deadline ends the attempt at the latest.

--- a/src/main/java/maplerail/net/Call.java
+++ b/src/main/java/maplerail/net/Call.java
@@ -21,6 +21,8 @@
      * system retransmits after 200 ms or more.
      */
     private static final double MAX_HEAD_SILENCE_MS = 400;
+    /** The same for the head of a stream, behind which no state is held: clients must be told within 5 s. */
+    private static final double MAX_STREAM_HEAD_SILENCE_MS = 4_500;
 
     private final ConnectionPool pool;
     private final Supplier<ClientRequest> requestSupplier;
@@ -286,7 +288,8 @@
         if (!parser.inHead()) return;
         // Input received by then is read first.
         XnioLoop loop = pool.loop();
-        timeout = loop.schedule(lastReceivedMs + MAX_HEAD_SILENCE_MS, () -> timeout = loop.runAfterInput(this::fail));
+        double maxSilenceMs = parser.status() == StatusCodes.OK ? MAX_STREAM_HEAD_SILENCE_MS : MAX_HEAD_SILENCE_MS;
+        timeout = loop.schedule(lastReceivedMs + maxSilenceMs, () -> timeout = loop.runAfterInput(this::fail));
     }
 
     private void cancelTimeout() {
--- a/src/test/java/maplerail/cli/SlowEngineIT.java
+++ b/src/test/java/maplerail/cli/SlowEngineIT.java
@@ -138,6 +138,20 @@
         });
     }
 
+    /** Guards against giving up a writer that pauses within the head of its stream. */
+    @ParameterizedTest
+    @ValueSource(ints = {500, 1_200})
+    void aWriterThatPausesWithinItsHeadServes(int pauseMs) throws Exception {
+        assertServed(SlowEngineIT::read, x -> {
+            for (String line : HEAD.split("(?<=\n)")) {
+                x.write(line);
+                TimeUnit.MILLISECONDS.sleep(pauseMs);
+            }
+            x.chunk(EVENT);
+            finish(x);
+        });
+    }
+
     /** A client expects the end within 5 s of the last event, so that it can request the rest elsewhere. */
     @Test
     void aStreamThatStallsWithinAChunkEndsTheClientsConnectionInTime() throws Exception {
