--- a/src/test/java/maplerail/cli/JarIT.java
+++ b/src/test/java/maplerail/cli/JarIT.java
@@ -120,6 +120,7 @@
                     await("the new list is used", () -> nextWriter.count("POST") == 1);
                     gateway.destroy();
                     stream = GatewayFixture.take(streams);
+                    stream.chunk("data: [DONE]\n\n");
                     stream.endStream();
                     assertThat(GatewayFixture.readAll(client.getInputStream())).contains("[DONE]")
                             .endsWith("\r\n0\r\n\r\n");
