Drop noise behind a request early, and space the reads of what is not kept over all connections

Cause: before an attempt all of it was read and held, up to 544 KB, and the server parses what is held to its end as one method name before it rejects it (8 of 10 thread dumps are in handleHttpVerb). And the reads of what is not kept were spaced for each connection only. Change: after 32 KB read at once the framing of what is held is checked, and noise is dropped; DroppedReadPacer allows 64 KB in 2 ms over all connections.

--- a/src/main/java/maplerail/front/platform/ClientInput.java
+++ b/src/main/java/maplerail/front/platform/ClientInput.java
@@ -19,31 +19,33 @@
         END_OF_INPUT, READ_FAILED, WRITE_FAILED
     }
 
-    /** Bytes that are read and not kept before other connections get their turn. */
-    private static final int DROPPED_BYTES_PER_TURN = 64 * 1024;
-    private static final double DROPPED_READ_INTERVAL_MS = 2; // between such turns
+    /** So many bytes at once are looked at before more are read: the server would take long to reject noise. */
+    private static final int CHECKED_BYTES = 32 * 1024;
+    private static final double DROPPED_READ_RETRY_MS = 5; // for a connection that waits for a turn
 
     private final HttpServerConnection connection;
     private final StreamSourceConduit source;
     private final PipelinedRequests pipelined;
+    private final DroppedReadPacer pacer;
     private final EventLoop loop;
     private final Consumer<Left> onLeft;
     private boolean stopped;
     /** Whether the last read found nothing more. */
     private boolean allRead;
-    /** Before this time nothing is read that is not kept. */
-    private double nextDroppedReadMs;
 
     /**
      * Creates a reader that has not started.
      *
      * @param pipelined receives what was read
+     * @param pacer spaces the reads of what is not kept
      * @param onLeft called when the client is found to have left
      */
-    ClientInput(HttpServerConnection connection, PipelinedRequests pipelined, EventLoop loop, Consumer<Left> onLeft) {
+    ClientInput(HttpServerConnection connection, PipelinedRequests pipelined, DroppedReadPacer pacer, EventLoop loop,
+            Consumer<Left> onLeft) {
         this.connection = connection;
         this.source = connection.getOriginalSourceConduit();
         this.pipelined = pipelined;
+        this.pacer = pacer;
         this.loop = loop;
         this.onLeft = onLeft;
     }
@@ -74,7 +76,7 @@
             source.suspendReads();
         } else if (pipelined.isDropping()) {
             source.suspendReads();
-            loop.schedule(loop.nowMs() + DROPPED_READ_INTERVAL_MS, () -> {
+            loop.schedule(loop.nowMs() + DROPPED_READ_RETRY_MS, () -> {
                 if (!stopped) source.resumeReads();
             });
         }
@@ -82,20 +84,23 @@
 
     /** Reads all that the client has sent, or what one turn allows once it is not kept. */
     private void read() {
-        if (pipelined.isDropping() && !allRead && loop.nowMs() < nextDroppedReadMs) return;
+        allRead = false;
+        if (pipelined.isDropping() && !pacer.tryTurn(loop.nowMs())) return;
         try (PooledByteBuffer received = connection.getByteBufferPool().allocate()) {
+            int keptBytes = 0;
             int droppedBytes = 0;
-            while (!stopped && droppedBytes < DROPPED_BYTES_PER_TURN) {
+            while (!stopped && droppedBytes < DroppedReadPacer.BYTES_PER_TURN) {
                 int count = source.read(received.getBuffer().clear());
                 if (count < 0) onLeft.accept(Left.END_OF_INPUT);
                 allRead = count <= 0;
                 if (allRead) return;
                 if (pipelined.isDropping()) droppedBytes += count;
+                else keptBytes += count;
                 pipelined.add(received.getBuffer().flip());
+                if (keptBytes >= CHECKED_BYTES && keptBytes - count < CHECKED_BYTES) pipelined.dropIfUnreadable();
             }
         } catch (IOException e) {
             onLeft.accept(Left.READ_FAILED);
         }
-        nextDroppedReadMs = loop.nowMs() + DROPPED_READ_INTERVAL_MS;
     }
 }
--- a/src/main/java/maplerail/front/platform/HttpAnswer.java
+++ b/src/main/java/maplerail/front/platform/HttpAnswer.java
@@ -46,14 +46,15 @@
      * Creates the answer to a request.
      *
      * @param pipelined what its client has sent after the request
+     * @param pacer spaces the reads of what is not kept
      */
-    HttpAnswer(HttpServerExchange exchange, PipelinedRequests pipelined, EventLoop loop, ServiceCounters counters,
-            ClientMemory memory) {
+    HttpAnswer(HttpServerExchange exchange, PipelinedRequests pipelined, DroppedReadPacer pacer, EventLoop loop,
+            ServiceCounters counters, ClientMemory memory) {
         this.exchange = exchange;
         this.pipelined = pipelined;
         this.counters = counters;
         this.memory = memory;
-        this.input = new ClientInput((HttpServerConnection) exchange.getConnection(), pipelined, loop,
+        this.input = new ClientInput((HttpServerConnection) exchange.getConnection(), pipelined, pacer, loop,
                 this::onClientLeft);
     }
 
--- a/src/main/java/maplerail/front/platform/PipelinedRequests.java
+++ b/src/main/java/maplerail/front/platform/PipelinedRequests.java
@@ -59,6 +59,14 @@
         runIfRequestEnded();
     }
 
+    /** Drops what is held behind the last complete request if that can't be read as a request. */
+    void dropIfUnreadable() {
+        if (framing != null || connection.getExtraBytes() == null) return;
+        RequestFraming held = new RequestFraming();
+        held.read(connection.getExtraBytes().getBuffer().duplicate());
+        if (held.isUnreadable()) dropExcess();
+    }
+
     private int maxBytes() {
         return memory.isShort(Kind.PIPELINED_REQUEST) ? MAX_BYTES_WHEN_SHORT : MAX_BYTES;
     }
--- a/src/main/java/maplerail/front/platform/PlatformFront.java
+++ b/src/main/java/maplerail/front/platform/PlatformFront.java
@@ -42,6 +42,7 @@
     private final RequestThrottle throttle;
     /** The longest deadline of all classes; a request may take no longer to arrive, whatever its client asks for. */
     private final double maxDeadlineMs;
+    private final DroppedReadPacer pacer = new DroppedReadPacer();
     private final Map<HttpServerConnection, PipelinedRequests> pipelinedByConnection = new HashMap<>();
     private ClientListener listener;
 
@@ -100,7 +101,7 @@
     private void handle(HttpServerExchange exchange, PipelinedRequests pipelined) {
         listener.onDequeued(exchange);
         if (lifecycle.phase().isShuttingDown()) exchange.getResponseHeaders().put(Headers.CONNECTION, "close");
-        HttpAnswer answer = new HttpAnswer(exchange, pipelined, loop, broker.counters(), memory);
+        HttpAnswer answer = new HttpAnswer(exchange, pipelined, pacer, loop, broker.counters(), memory);
         exchange.dispatch(SameThreadExecutor.INSTANCE, () -> {
             if (pipelined.isPlaceholder()) refuseNotKept(exchange, pipelined, answer);
             else new IncomingRequest(exchange, answer).start();
