Take only the text of events for progress of a stream, and check events as they come

Callers saw streams that were left open for as long as a spoilt engine wrote: 55 of 79 forms of SpoiltStreamIT on the code before, e.g. a size line, the end of a chunk or trailers that never end, a wrong size that takes in the next frames, noise or blanks in a chunk, comments, and anything behind the last event. Two of 12 sound forms were held back until the end of their chunk (9.8 s).

Cause: since any byte of the connection counted as progress, and a chunk was looked at only once its last byte had come. A byte proves that the engine runs, not that its answer goes on; a whole event (the rule before) comes too late as a proof.

- StreamProgress (policy): progress is text of an event's fields, whole or not; behind the last event nothing is. 4.5 s without it end the stream, as before; a pause of a slow client is not counted.
- AnswerLimits (policy): from the tokens that a request allows, the largest size of a chunk (refused as its digits are read), the events in a chunk, and the size of an event that takes longer than a stall.
Without that number the former limits hold.
- ResponseParser passes on parts of a chunk as they arrive; a line around a chunk has 4 KiB and 4 s from its first byte to its last.
- EventSplitter passes on each event at once, checks lines as they come (control characters, noise, sizes of chunks also with extensions) and keeps blank lines and comments apart.
- The stall is checked after input that has arrived, as other limits are; the log tells why a stream was ended and when text of it last came.

Why it works: the forms that broke differ only in which bytes came; none of them is text of an event, or is more than the answer can have. Both sides are in one table, played to a real process: 79 spoilt forms end in time with no last chunk, 12 sound ones are whole, unchanged and not held back.

--- a/src/main/java/maplerail/core/ActiveRequest.java
+++ b/src/main/java/maplerail/core/ActiveRequest.java
@@ -7,11 +7,13 @@
 import java.util.Map;
 import java.util.Set;
 import maplerail.Router;
+import maplerail.policy.AnswerLimits;
 import maplerail.policy.AnswerTimes;
 import maplerail.policy.PriorAttempt;
 import maplerail.policy.ProtocolRules;
 import maplerail.policy.RequestState;
 import maplerail.policy.StateLease;
+import maplerail.policy.StreamProgress;
 
 /** An open request with its attempts, its answer and the states that engines may hold for it. */
 final class ActiveRequest {
@@ -99,7 +101,7 @@
     /** True while an attempt is in flight whose answer has started to arrive. */
     boolean responseStarted() {
         return attempts.stream().anyMatch(attempt -> !attempt.ended && attempt.handle != null
-                && (attempt.lastEventMs > 0 || attempt.handle.responseStarted()));
+                && (attempt.progress != null || attempt.handle.responseStarted()));
     }
 
     /**
@@ -115,7 +117,7 @@
                     .append(attempt.outcome == null ? "pending" : attempt.outcome).append(" after ")
                     .append(Math.round((attempt.ended ? attempt.endedMs : nowMs) - attempt.sentMs));
             if (!attempt.atReader && attempt.handle != null)
-                line.append(" (").append(attempt.handle.trace()).append(')');
+                line.append(" (").append(attempt.handle.trace()).append(attempt.streamTrace(nowMs)).append(')');
             line.append(';');
         }
         return line.toString();
@@ -132,8 +134,10 @@
         final double sentMs;
         EngineTransport.AttemptHandle handle;
         EventLoop.ScheduledTask timeout;
-        /** When the last event arrived or the caller last ended a pause; 0 if neither has happened. */
-        double lastEventMs;
+        /** How its stream goes on; null before the first event. */
+        StreamProgress progress;
+        /** Why its stream was ended; null if it was not. */
+        StreamProgress.Flaw flaw;
         /** Whether the caller has asked for a pause. */
         boolean paused;
         /** Cancelled, but kept open until the states held for the request can be released. */
@@ -145,9 +149,19 @@
         Router.Outcome outcome;
         double endedMs;
 
-        /** When its answer was last seen to go on: an event may take its engine long to write. */
-        double lastProgressMs() {
-            return Math.max(lastEventMs, handle.lastReceivedMs());
+        /** Records that an event has become whole. */
+        void recordEvent(double nowMs) {
+            if (progress == null)
+                progress = new StreamProgress(AnswerLimits.of(active.request.maxOutputTokens()), nowMs);
+            else
+                progress.eventArrived(nowMs);
+        }
+
+        /** Describes the stream for the log: why it was ended, and when text of an event last arrived. */
+        private String streamTrace(double nowMs) {
+            if (progress == null) return "";
+            return (flaw == null ? "" : ", " + flaw) + ", text " + Math.round(nowMs - progress.lastTextMs())
+                    + " ms ago";
         }
 
         /**
--- a/src/main/java/maplerail/core/AttemptRunner.java
+++ b/src/main/java/maplerail/core/AttemptRunner.java
@@ -11,11 +11,10 @@
 import maplerail.policy.ProtocolRules.ClientPresence;
 import maplerail.policy.ProtocolRules.Reason;
 import maplerail.policy.StateLease;
+import maplerail.policy.StreamProgress;
 
 /** Makes the attempts that the module orders, ends them and reports their outcomes to the module. */
 final class AttemptRunner {
-    /** Time without a byte after which a stream counts as stalled; clients must be told within 5 s. */
-    private static final double STREAM_STALL_TIMEOUT_MS = 4_500;
     /**
      * Longest time that an attempt stays open after its request's answer while the reader of its state is unreachable.
      */
@@ -98,6 +97,21 @@
                         if (!attempt.ended) onEvent(attempt, event);
                     }
 
+                    @Override
+                    public void comment(byte[] comment) {
+                        if (!attempt.ended && attempt.active.winner == attempt) relay.onEvent(attempt, comment);
+                    }
+
+                    @Override
+                    public void textArrived(int unfinishedBytes) {
+                        if (attempt.progress != null) attempt.progress.textArrived(loop.nowMs(), unfinishedBytes);
+                    }
+
+                    @Override
+                    public void lastEvent() {
+                        if (attempt.progress != null) attempt.progress.lastEventArrived(loop.nowMs());
+                    }
+
                     @Override
                     public void rejected() {
                         if (!attempt.ended) onRejected(attempt);
@@ -179,11 +193,11 @@
         }
         ActiveRequest active = attempt.active;
         answerTimes.record(attempt.engine, loop.inputArrivedAfterMs());
-        attempt.lastEventMs = loop.nowMs();
+        attempt.recordEvent(loop.nowMs());
         if (active.winner == null && !active.answered) {
             active.winner = attempt;
             attempt.timeout.cancel();
-            scheduleStallCheck(attempt, STREAM_STALL_TIMEOUT_MS);
+            scheduleProgressCheck(attempt);
             active.deadlineGuard.cancel();
             heldStates.onStreamStarted(active);
             registry.discardPayload(active);
@@ -195,16 +209,26 @@
     }
 
     /**
-     * Schedules a check for a stalled stream. Guards against an engine that falls silent in the middle of a stream: its
-     * connection stays open and no deadline applies any more, so the client would wait forever instead of requesting
-     * the rest elsewhere.
+     * Schedules a check of a stream's progress. Guards against an engine that falls silent in the middle of a stream, or
+     * goes on with what is no answer: its connection stays open and no deadline applies any more, so the client would
+     * wait forever instead of requesting the rest elsewhere.
      */
-    private void scheduleStallCheck(ActiveRequest.Attempt attempt, double afterMs) {
-        attempt.timeout = loop.schedule(loop.nowMs() + afterMs, () -> {
-            double silentMs = attempt.paused ? 0 : loop.nowMs() - attempt.lastProgressMs();
-            if (silentMs >= STREAM_STALL_TIMEOUT_MS) abort(attempt, Outcome.RESET);
-            else if (!attempt.ended) scheduleStallCheck(attempt, STREAM_STALL_TIMEOUT_MS - silentMs);
-        });
+    private void scheduleProgressCheck(ActiveRequest.Attempt attempt) {
+        // A paused stream can't go on; its time starts anew with its end.
+        double checkMs = attempt.paused ? loop.nowMs() + StreamProgress.STALL_TIMEOUT_MS : attempt.progress.endByMs();
+        attempt.timeout = loop.schedule(checkMs,
+                () -> attempt.timeout = loop.runAfterInput(() -> checkProgress(attempt)));
+    }
+
+    private void checkProgress(ActiveRequest.Attempt attempt) {
+        if (attempt.ended) return;
+        if (attempt.paused || loop.nowMs() < attempt.progress.endByMs()) {
+            scheduleProgressCheck(attempt);
+            return;
+        }
+        attempt.flaw = attempt.progress.flaw();
+        counters.count(attempt.flaw);
+        abort(attempt, Outcome.RESET);
     }
 
     /**
--- a/src/main/java/maplerail/core/EngineTransport.java
+++ b/src/main/java/maplerail/core/EngineTransport.java
@@ -44,11 +44,6 @@
             return Double.NaN;
         }
 
-        /** When the last bytes of the answer were received, 0 before any. */
-        default double lastReceivedMs() {
-            return 0;
-        }
-
         /** Aborts the attempt. The listener gets no further calls. */
         void abort();
 
@@ -61,9 +56,18 @@
 
     /** Receives the answer to an attempt. */
     interface AnswerListener {
-        /** Receives a piece of a streaming answer. */
+        /** Receives a piece of a streaming answer: events, and what stands between them. */
         void event(byte[] event);
 
+        /** Receives a piece of a streaming answer behind its first event that holds no event, as comments do. */
+        default void comment(byte[] comment) {}
+
+        /** Text of an event has arrived, and so many bytes of the answer are not passed on yet. */
+        default void textArrived(int unfinishedBytes) {}
+
+        /** The last event of the answer has been passed on; only its end may follow. */
+        default void lastEvent() {}
+
         /** The attempt has ended: the engine rejected the request as invalid, as any other engine would. */
         void rejected();
 
--- a/src/main/java/maplerail/core/Relay.java
+++ b/src/main/java/maplerail/core/Relay.java
@@ -26,7 +26,7 @@
     void writable(ActiveRequest active) {
         if (active.winner == null || active.winner.ended) return;
         active.winner.paused = false;
-        active.winner.lastEventMs = loop.nowMs();
+        active.winner.progress.resumed(loop.nowMs());
         active.winner.handle.resume();
     }
 
--- a/src/main/java/maplerail/net/Call.java
+++ b/src/main/java/maplerail/net/Call.java
@@ -10,6 +10,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import maplerail.core.EventLoop;
+import maplerail.policy.StreamProgress;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -22,7 +23,9 @@
      */
     private static final double MAX_HEAD_SILENCE_MS = 400;
     /** The same for the head of a stream, behind which no state is held: clients must be told within 5 s. */
-    private static final double MAX_STREAM_HEAD_SILENCE_MS = 4_500;
+    private static final double MAX_STREAM_HEAD_SILENCE_MS = StreamProgress.STALL_TIMEOUT_MS;
+    /** Longest time from the first to the last byte of one element of the framing around chunks. */
+    private static final double MAX_FRAMING_MS = 4_000;
 
     private final ConnectionPool pool;
     private final Supplier<ClientRequest> requestSupplier;
@@ -50,6 +53,9 @@
     private double connectedMs;
     private long receivedBytes;
     private double lastReceivedMs;
+    /** The element of the framing that has been received in part, 0 if there is none, and since when. */
+    private int framingElement;
+    private double framingStartMs;
     private boolean anyWritten;
     private double writtenMs = Double.NaN;
     private boolean paused;
@@ -101,11 +107,6 @@
         return parser.headComplete() && parser.status() == StatusCodes.OK;
     }
 
-    /** Returns when the last bytes of the response were received, or 0 before any. */
-    double lastReceivedMs() {
-        return lastReceivedMs;
-    }
-
     /**
      * Describes the progress for the log: what was written, on which kind of connection, and what has been received.
      */
@@ -155,6 +156,7 @@
     public void resume() {
         if (!paused) return;
         paused = false;
+        framingStartMs = pool.loop().nowMs();
         pool.loop().execute(this::read);
     }
 
@@ -254,7 +256,7 @@
                 int count = connection.stream.getSourceChannel().read(buffer);
                 if (count == 0) {
                     connection.stream.getSourceChannel().resumeReads();
-                    watchHead();
+                    watchUnfinished();
                     return;
                 }
                 if (count > 0) {
@@ -280,16 +282,29 @@
     }
 
     /**
-     * Guards against a head that stops in the middle, which nothing else reports. A head whose bytes keep arriving,
-     * however slowly, has not stopped. What follows the head is supervised by the caller.
+     * Guards against a head that stops in the middle, and against framing around chunks that never ends, which nothing
+     * else reports. A head whose bytes keep arriving, however slowly, has not stopped. What lies within the framing is
+     * supervised by the caller.
      */
-    private void watchHead() {
+    private void watchUnfinished() {
         cancelTimeout();
-        if (!parser.inHead()) return;
-        // Input received by then is read first.
+        if (parser.unfinishedFraming() != framingElement) framingStartMs = lastReceivedMs;
+        framingElement = parser.unfinishedFraming();
+        if (parser.inHead()) failAfter(lastReceivedMs + maxHeadSilenceMs(), "silent within its head");
+        else if (framingElement > 0) failAfter(framingStartMs + MAX_FRAMING_MS, "framing without end");
+    }
+
+    private double maxHeadSilenceMs() {
+        return parser.status() == StatusCodes.OK ? MAX_STREAM_HEAD_SILENCE_MS : MAX_HEAD_SILENCE_MS;
+    }
+
+    /** Fails the call at a time unless something arrives before; input received by then is read first. */
+    private void failAfter(double whenMs, String description) {
         XnioLoop loop = pool.loop();
-        double maxSilenceMs = parser.status() == StatusCodes.OK ? MAX_STREAM_HEAD_SILENCE_MS : MAX_HEAD_SILENCE_MS;
-        timeout = loop.schedule(lastReceivedMs + maxSilenceMs, () -> timeout = loop.runAfterInput(this::fail));
+        timeout = loop.schedule(whenMs, () -> timeout = loop.runAfterInput(() -> {
+            recordFlaw(description);
+            fail();
+        }));
     }
 
     private void cancelTimeout() {
@@ -354,5 +369,6 @@
         cancelTimeout();
         if (cancelConnect != null) cancelConnect.run();
         if (connection != null) connection.abort();
+        handler.closed();
     }
 }
--- a/src/main/java/maplerail/net/CallHandle.java
+++ b/src/main/java/maplerail/net/CallHandle.java
@@ -24,11 +24,6 @@
         return call.writtenMs();
     }
 
-    @Override
-    public double lastReceivedMs() {
-        return call.lastReceivedMs();
-    }
-
     @Override
     public void abort() {
         call.abort();
--- a/src/main/java/maplerail/net/EngineClient.java
+++ b/src/main/java/maplerail/net/EngineClient.java
@@ -18,6 +18,7 @@
 import maplerail.config.JsonValue;
 import maplerail.core.ServiceRequest;
 import maplerail.core.EngineTransport;
+import maplerail.policy.AnswerLimits;
 
 /** Sends attempts and releases to engines over the HTTP protocol of the platform. */
 public final class EngineClient implements EngineTransport {
@@ -47,7 +48,8 @@
             AnswerListener listener) {
         HttpPayload payload = (HttpPayload) request.payload();
         InetSocketAddress address = addresses.get(engine);
-        EngineResponseHandler handler = new EngineResponseHandler(listener);
+        EngineResponseHandler handler = new EngineResponseHandler(listener,
+                AnswerLimits.of(request.maxOutputTokens()));
         byte[] body = payload.body();
         handler.call = pool.start(address, () -> request(address, payload, body.length, deadlineMs), body, mayStart,
                 handler);
@@ -67,19 +69,42 @@
     }
 
     /** Maps the response of an engine to the outcome of an attempt. */
-    private final class EngineResponseHandler implements ResponseHandler {
+    private final class EngineResponseHandler implements ResponseHandler, EventSplitter.Sink {
         private final AnswerListener listener;
+        private final AnswerLimits limits;
         private Call call;
         private boolean ended;
-        private final EventSplitter events = new EventSplitter();
+        private final EventSplitter events;
         private final ByteArrayOutputStream textBody = new ByteArrayOutputStream();
         private Outcome headOutcome;
         /** False if the end of the response does not prove that the answer is complete. */
         private boolean endIsProof;
         private boolean invalidRequest;
 
-        EngineResponseHandler(AnswerListener listener) {
+        EngineResponseHandler(AnswerListener listener, AnswerLimits limits) {
             this.listener = listener;
+            this.limits = limits;
+            this.events = new EventSplitter(limits.chunkEvents());
+        }
+
+        @Override
+        public int maxChunkBytes() {
+            return limits.chunkBytes();
+        }
+
+        @Override
+        public void chunkEnd() {
+            events.endChunk();
+        }
+
+        @Override
+        public void events(byte[] complete) {
+            listener.event(complete);
+        }
+
+        @Override
+        public void comments(byte[] comments) {
+            listener.comment(comments);
         }
 
         @Override
@@ -110,15 +135,26 @@
         @Override
         public void body(ByteBuffer part) {
             if (headOutcome == Outcome.SERVED) {
-                if (!events.feed(part, listener::event)) abortInvalidStream();
+                feedEvents(part);
             } else if (textBody.size() < MAX_TEXT_BYTES) {
                 while (part.hasRemaining()) textBody.write(part.get());
             }
         }
 
-        private void abortInvalidStream() {
+        private void feedEvents(ByteBuffer part) {
+            boolean valid = events.feed(part, this);
+            if (call.done()) return;
+            if (!valid) {
+                abortStream("not a stream of events");
+                return;
+            }
+            if (events.textArrived()) listener.textArrived(events.unfinishedBytes());
+            if (events.lastEventArrived()) listener.lastEvent();
+        }
+
+        private void abortStream(String flaw) {
             call.abort();
-            call.recordFlaw("not a stream of events");
+            call.recordFlaw(flaw);
             finish(Outcome.RESET, 0);
         }
 
--- a/src/main/java/maplerail/net/ResponseHandler.java
+++ b/src/main/java/maplerail/net/ResponseHandler.java
@@ -5,18 +5,32 @@
 
 /** Receives the response to a {@link Call}: a head, parts of the body, then either the end or a failure. */
 public interface ResponseHandler {
+    /** Largest chunk where a handler does not set a limit of its own. */
+    int DEFAULT_MAX_CHUNK_BYTES = 1 << 20;
+
     /** Called when the status line and the headers have been received. */
     void head(int status, HeaderMap headers);
 
     /** Called for each part of the body; the buffer may be used only during the call. */
     void body(ByteBuffer part);
 
+    /** Returns the largest chunk of a body; a larger one is refused as soon as its size has been read. */
+    default int maxChunkBytes() {
+        return DEFAULT_MAX_CHUNK_BYTES;
+    }
+
+    /** Called when a chunk of the body has been received in full, after its last part. */
+    default void chunkEnd() {}
+
     /** Called when the body is complete according to its framing. */
     void end();
 
     /** Called if there is no response or if it is incomplete. */
     void failed(Failure failure);
 
+    /** Called once when the call is over, however it ends, before its end is reported. */
+    default void closed() {}
+
     /** Why a call has no complete response. */
     enum Failure {
         /** This machine could not open a connection, which says nothing about the peer. */
--- a/src/main/java/maplerail/net/ResponseParser.java
+++ b/src/main/java/maplerail/net/ResponseParser.java
@@ -11,13 +11,14 @@
 /**
  * Parses one HTTP/1.1 response strictly. Undertow's client is too lenient: its {@code ChunkReader} takes a size that it
  * cannot parse for 0 (the last chunk) and skips whatever follows a chunk, and it does not limit the size of a head. A
- * corrupt stream must never end as if it were complete, so a chunk is passed on only once its terminator has been
- * checked.
+ * corrupt stream must never end as if it were complete. Parts of a chunk are passed on as they arrive, so that their
+ * receiver can check them.
  */
 final class ResponseParser {
-    /** Limits all heads of a response together, interim ones included, and the lines around each chunk. */
+    /** Limits all heads of a response together, interim ones included, and the trailers. */
     private static final int MAX_HEAD_BYTES = 16 * 1024;
-    private static final int MAX_CHUNK_BYTES = 1 << 20;
+    /** Limits each line around a chunk. */
+    private static final int MAX_CHUNK_LINE_BYTES = 4 * 1024;
     /** Limits the 1xx responses that may precede the actual one. */
     private static final int MAX_INTERIM_RESPONSES = 16;
     private static final int MAX_HEADER_FIELDS = 100;
@@ -27,7 +28,6 @@
 
     private final ResponseHandler handler;
     private final ByteArrayOutputStream lineBuffer = new ByteArrayOutputStream();
-    private final ByteArrayOutputStream chunkBuffer = new ByteArrayOutputStream();
     private State state = State.HEAD;
     private HeaderMap headers = new HeaderMap();
     private int status;
@@ -39,6 +39,10 @@
     /** True while a head or a chunk has been received in part. */
     private boolean partial;
     private boolean headComplete;
+    /** Number of elements of the framing of chunks of which a part has been received. */
+    private int framingElements;
+    private int sizeDigits;
+    private boolean inSizeExtension;
 
     ResponseParser(ResponseHandler handler) {
         this.handler = handler;
@@ -53,9 +57,11 @@
                 case FIXED_LENGTH_BODY, BODY_UNTIL_CLOSE -> readBody(bytes);
                 case CHUNK_DATA -> readChunk(bytes);
                 default -> {
-                    partial = true;
                     byte next = bytes.get();
-                    if (++headBytes > MAX_HEAD_BYTES) throw new IOException("response head is too long");
+                    if (!partial && headComplete) framingElements++;
+                    partial = true;
+                    checkLineLength();
+                    if (state == State.CHUNK_SIZE) checkSizeSoFar(next);
                     if (next == '\n') parseLine();
                     else lineBuffer.write(next);
                 }
@@ -63,6 +69,12 @@
         }
     }
 
+    private void checkLineLength() throws IOException {
+        boolean chunkLine = state == State.CHUNK_SIZE || state == State.CHUNK_END;
+        if (++headBytes > (chunkLine ? MAX_CHUNK_LINE_BYTES : MAX_HEAD_BYTES))
+            throw new IOException(headComplete ? "line around a chunk is too long" : "response head is too long");
+    }
+
     /** Returns the status code, or 0 before the status line has been received. */
     int status() {
         return status;
@@ -88,6 +100,14 @@
         return incomplete() && !headComplete;
     }
 
+    /**
+     * Returns the number of the element of a chunked body's framing (a chunk's size, its end, the trailers) that has been
+     * received in part; 0 if there is none.
+     */
+    int unfinishedFraming() {
+        return headComplete && partial && state != State.DONE && state != State.CHUNK_DATA ? framingElements : 0;
+    }
+
     /** Discards the rest of the response. */
     void discardRest() {
         state = State.DONE;
@@ -116,11 +136,14 @@
 
     private void readChunk(ByteBuffer bytes) {
         int count = (int) Math.min(remainingBytes, bytes.remaining());
-        byte[] data = new byte[count];
-        bytes.get(data);
-        chunkBuffer.write(data, 0, count);
+        ByteBuffer part = bytes.duplicate().limit(bytes.position() + count);
+        bytes.position(bytes.position() + count);
         remainingBytes -= count;
-        if (remainingBytes == 0) state = State.CHUNK_END;
+        if (remainingBytes == 0) {
+            state = State.CHUNK_END;
+            finishElement();
+        }
+        handler.body(part);
     }
 
     private void parseLine() throws IOException {
@@ -135,11 +158,9 @@
             case CHUNK_SIZE -> parseChunkSize(text, endsWithCr);
             case CHUNK_END -> {
                 if (!endsWithCr || !text.isEmpty()) throw new IOException("chunk data does not match the chunk size");
-                byte[] complete = chunkBuffer.toByteArray();
-                chunkBuffer.reset();
                 state = State.CHUNK_SIZE;
                 finishElement();
-                handler.body(ByteBuffer.wrap(complete));
+                handler.chunkEnd();
             }
             default -> parseTrailer(text);
         }
@@ -163,6 +184,19 @@
     private void finishElement() {
         partial = false;
         headBytes = 0;
+        remainingBytes = 0;
+        sizeDigits = 0;
+        inSizeExtension = false;
+    }
+
+    /** Checks the size of a chunk as it is read: it may never end. */
+    private void checkSizeSoFar(byte next) throws IOException {
+        inSizeExtension |= next == ';';
+        int digit = Character.digit(next, 16);
+        if (inSizeExtension || digit < 0) return;
+        remainingBytes = remainingBytes * 16 + digit;
+        if (++sizeDigits > MAX_CHUNK_SIZE_DIGITS) throw new IOException("invalid chunk size");
+        if (remainingBytes > handler.maxChunkBytes()) throw new IOException("chunk is too large");
     }
 
     private void parseChunkSize(String text, boolean endsWithCr) throws IOException {
@@ -171,8 +205,6 @@
         if (!endsWithCr || !digits.matches("[0-9a-fA-F]{1," + MAX_CHUNK_SIZE_DIGITS + "}")) {
             throw new IOException("invalid chunk size");
         }
-        remainingBytes = Long.parseLong(digits, 16);
-        if (remainingBytes > MAX_CHUNK_BYTES) throw new IOException("chunk is too large");
         state = remainingBytes == 0 ? State.TRAILERS : State.CHUNK_DATA;
     }
 
@@ -216,13 +248,13 @@
             if (headers.count(Headers.CONTENT_LENGTH) > 1 || !length.matches("[0-9]{1,15}")) {
                 throw new IOException("invalid or repeated Content-Length");
             }
-            remainingBytes = Long.parseLong(length);
-            state = remainingBytes == 0 ? State.DONE : State.FIXED_LENGTH_BODY;
+            state = Long.parseLong(length) == 0 ? State.DONE : State.FIXED_LENGTH_BODY;
         } else {
             state = State.BODY_UNTIL_CLOSE;
             keepAlive = false;
         }
         finishElement();
+        if (state == State.FIXED_LENGTH_BODY) remainingBytes = Long.parseLong(headers.getFirst(Headers.CONTENT_LENGTH));
         headComplete = true;
         handler.head(status, headers);
     }
--- a/src/main/java/maplerail/net/TextResponseHandler.java
+++ b/src/main/java/maplerail/net/TextResponseHandler.java
@@ -16,7 +16,9 @@
     private int status;
     private HeaderMap headers;
     private boolean ended;
-    private double lastProgressMs;
+    /** Bytes of the text that are not blank; blanks alone are no progress. */
+    private long contentBytes;
+    private long checkedBytes;
 
     /**
      * Handles the complete response.
@@ -29,15 +31,15 @@
     protected abstract void onFailure();
 
     /**
-     * Aborts a call that is overdue, unless its response is still arriving. Guards against a response that is large or
-     * arrives over a slow path, which would otherwise be aborted and requested again and again.
+     * Aborts a call that is overdue, unless the text of its response is still arriving. Guards against a response that is
+     * large or arrives over a slow path, which would otherwise be aborted and requested again and again.
      *
      * @return true if the call continues and has to be checked again
      */
     public final boolean abortIfStalled(Call call) {
         if (ended) return false;
-        if (call.lastReceivedMs() > lastProgressMs) {
-            lastProgressMs = call.lastReceivedMs();
+        if (contentBytes > checkedBytes) {
+            checkedBytes = contentBytes;
             return true;
         }
         call.abort();
@@ -53,7 +55,11 @@
 
     @Override
     public final void body(ByteBuffer part) {
-        while (part.hasRemaining() && text.size() < MAX_BYTES) text.write(part.get());
+        while (part.hasRemaining() && text.size() < MAX_BYTES) {
+            byte next = part.get();
+            if (next > ' ') contentBytes++;
+            text.write(next);
+        }
     }
 
     @Override
