--- a/src/main/java/maplerail/net/EventSplitter.java
+++ b/src/main/java/maplerail/net/EventSplitter.java
@@ -54,8 +54,8 @@
     }
 
     /**
-     * Passes on all that is complete now, in one part. Comments before the first event are kept for it. Returns false if
-     * the bytes are no stream of events, or if an incomplete event exceeds the limit.
+     * Passes on all that is complete now, in one part. Comments before the first event are kept for it. Returns false,
+     * and passes on nothing, if the bytes are no stream of events; also if an incomplete event exceeds the limit.
      */
     boolean feed(ByteBuffer part, Sink sink) {
         byte[] bytes = new byte[part.remaining()];
@@ -78,10 +78,11 @@
             }
             startLine();
         }
-        if (valid) addToLine(bytes, lineBegin, bytes.length);
+        addToLine(bytes, lineBegin, bytes.length);
+        if (!valid) return false;
         if (end > 0) passOn(bytes, end, eventEnded, sink);
         pending.write(bytes, end, bytes.length - end);
-        return valid && pending.size() <= AnswerLimits.MAX_EVENT_BYTES;
+        return pending.size() <= AnswerLimits.MAX_EVENT_BYTES;
     }
 
     private void passOn(byte[] bytes, int end, boolean eventEnded, Sink sink) {
--- a/src/test/java/maplerail/net/EventSplitterTest.java
+++ b/src/test/java/maplerail/net/EventSplitterTest.java
@@ -100,6 +100,13 @@
         assertThat(splitter.textArrived()).isEqualTo(progress);
     }
 
+    /** Guards against passing on an event of which the same read shows that it lies in a chunk of a wrong size. */
+    @Test
+    void nothingOfAnInvalidPartIsPassedOn() {
+        assertThat(feed(splitter(), "data: 2\n\n\r\n0\r\n\r\n", 100)).isFalse();
+        assertThat(passedOn).isEmpty();
+    }
+
     /** Comments may be passed on by themselves once an event has gone before. */
     @Test
     void commentsAreKeptForTheFirstEvent() {
