Ask discovery again beside an answer that keeps arriving for too long

Cause, the class of the incident: TextResponseHandler took any byte for a sign that a list arrives, without end, and only one call was made at a time. The first goes on for up to a minute, so that a large list over a slow path still arrives (PlatformWatchTest.listThatKeepsArrivingIsAccepted, unchanged: one list of 5 s, no second call); a list that comes late tells only what is newer.

--- a/src/main/java/maplerail/discovery/PlatformWatch.java
+++ b/src/main/java/maplerail/discovery/PlatformWatch.java
@@ -35,6 +35,13 @@
     private static final double WAIT_GRACE_MS = 2_250;
     /** Time without a further byte after which the call of a response that started late is considered lost as well. */
     private static final double MAX_SILENCE_MS = 500;
+    /**
+     * Time from a call to the next one although its response is still arriving: whatever changes meanwhile counts as known
+     * 6 s later, however long that response takes.
+     */
+    private static final double MAX_ARRIVAL_MS = 5_500;
+    /** Longest time for which a response may arrive beside later calls. */
+    private static final double MAX_LATE_ARRIVAL_MS = 60_000;
     /** Time after a switch of agents in which a list older than the newest known one is rejected. */
     private static final double REJECT_OLDER_MS = 2_000;
 
@@ -51,6 +58,10 @@
     /** True while a list from an earlier run has to be confirmed, so that the call must not wait for a change. */
     private boolean unconfirmed;
     private double rejectOlderUntilMs = Double.NEGATIVE_INFINITY;
+    /** The call whose end is followed by the next one. */
+    private WatchCall current;
+    /** An earlier call whose response is still arriving beside the current one; null if there is none. */
+    private WatchCall late;
 
     /**
      * Creates a watch.
@@ -82,7 +93,8 @@
     /** Requests the whole list unless one is known, then changes, without end. */
     public void poll() {
         String target = "/api/targets" + (version < 0 ? "" : "?index=" + version + "&wait=" + waitMs());
-        new WatchHandler().start(Requests.to(agent, Methods.GET, target));
+        current = new WatchCall();
+        current.start(Requests.to(agent, Methods.GET, target));
     }
 
     private long waitMs() {
@@ -105,19 +117,55 @@
         problem = current;
     }
 
-    private final class WatchHandler extends TextResponseHandler {
+    private final class WatchCall extends TextResponseHandler {
         private final InetSocketAddress askedAgent = agent;
         private final double sentMs = loop.nowMs();
         private boolean refused;
+        private Call call;
 
         void start(ClientRequest request) {
-            Call call = pool.start(agent, request, new byte[0], this);
+            call = pool.start(agent, request, new byte[0], this);
             // Guards against an agent that was cut off, whose connection would stay open and silent.
-            loop.schedule(loop.nowMs() + waitMs() + WAIT_GRACE_MS, () -> checkProgress(call));
+            loop.schedule(loop.nowMs() + waitMs() + WAIT_GRACE_MS, this::checkProgress);
+        }
+
+        private void checkProgress() {
+            if (!abortIfStalled(call)) return;
+            double nowMs = loop.nowMs();
+            if (nowMs >= sentMs + MAX_LATE_ARRIVAL_MS) {
+                abort(call);
+                return;
+            }
+            if (this == current && nowMs >= sentMs + MAX_ARRIVAL_MS && !continueBeside()) return;
+            double nextMs = nowMs + MAX_SILENCE_MS;
+            loop.schedule(this == current ? Math.min(nextMs, sentMs + MAX_ARRIVAL_MS) : nextMs, this::checkProgress);
+        }
+
+        /**
+         * Starts the next call while the response to this one is still arriving: it may be large, or never end. If an
+         * earlier response is still arriving, too, this call is aborted instead, as that one has come further.
+         *
+         * @return true if this call continues
+         */
+        private boolean continueBeside() {
+            if (late != null && !late.ended()) {
+                abort(call);
+                return false;
+            }
+            late = this;
+            poll();
+            return true;
         }
 
-        private void checkProgress(Call call) {
-            if (abortIfStalled(call)) loop.schedule(loop.nowMs() + MAX_SILENCE_MS, () -> checkProgress(call));
+        /** Handles a list that has arrived after later calls were made; one that tells nothing new is ignored. */
+        private void onLateList(EngineList list) {
+            if (list.version() <= newestVersion) return;
+            WatchCall replaced = current;
+            newestVersion = list.version();
+            version = newestVersion;
+            poll();
+            replaced.abort(replaced.call);
+            onList.accept(list);
         }
 
         @Override
@@ -134,18 +182,23 @@
                 list = EngineList.read(JsonValue.parseObject("list", text), names);
             } catch (ConfigException e) {
                 logProblem(e.getMessage());
-                if (askedAgent.equals(agent)) version = -1;
+                if (this == current) version = -1;
                 return false;
             }
             logProblem("");
+            if (this != current && askedAgent.equals(agent)) {
+                onLateList(list);
+                return true;
+            }
             // Guards against a new agent that has not yet received the changes known here: engines that drain would be
             // listed as ready again.
             boolean older = list.version() < newestVersion && loop.nowMs() < rejectOlderUntilMs;
-            if (askedAgent.equals(agent)) {
+            if (this == current) {
                 if (older) return false;
                 version = list.version();
                 unconfirmed = false;
                 backOff.reset();
+                if (late != null) late.abort(late.call);
                 poll();
             }
             if (older) return true;
@@ -156,10 +209,10 @@
 
         @Override
         protected void onFailure() {
-            if (!askedAgent.equals(agent)) return; // a call to the new agent is in flight
+            if (this != current) return; // a later call is in flight
             double nowMs = loop.nowMs();
             loop.schedule(refused ? backOff.nextCallMs(sentMs, nowMs) : nowMs + BackOff.MIN_DELAY_MS, () -> {
-                if (askedAgent.equals(agent)) poll();
+                if (this == current) poll();
             });
         }
     }
--- a/src/main/java/maplerail/net/TextResponseHandler.java
+++ b/src/main/java/maplerail/net/TextResponseHandler.java
@@ -42,9 +42,20 @@
             checkedBytes = contentBytes;
             return true;
         }
+        abort(call);
+        return false;
+    }
+
+    /** Returns true once the call has ended. */
+    public final boolean ended() {
+        return ended;
+    }
+
+    /** Aborts a call, which counts as a failure. */
+    public final void abort(Call call) {
+        if (ended) return;
         call.abort();
         failed(Failure.BROKEN);
-        return false;
     }
 
     @Override
