Bound slow events also where a request does not tell its largest answer

An event of 200 KB that never ends stayed open where max_out was not told: the bound on slow events was the size limit itself, 256 KiB.

--- a/src/main/java/maplerail/policy/AnswerLimits.java
+++ b/src/main/java/maplerail/policy/AnswerLimits.java
@@ -12,6 +12,7 @@
     /** Size of an event, however fast it arrives. */
     public static final int MAX_EVENT_BYTES = 256 * 1024;
     private static final int MAX_CHUNK_BYTES = 1 << 20;
+    private static final int UNKNOWN_SLOW_EVENT_BYTES = 64 * 1024;
     /** What a chunk may hold beside its tokens. */
     private static final int CHUNK_BASE_BYTES = 64 * 1024;
     /** A token in an event of its own. */
@@ -23,7 +24,8 @@
     private static final int TEXT_BYTES_PER_TOKEN = 64;
 
     /** Limits where the number of tokens is not known. */
-    private static final AnswerLimits UNKNOWN = new AnswerLimits(MAX_CHUNK_BYTES, Integer.MAX_VALUE, MAX_EVENT_BYTES);
+    private static final AnswerLimits UNKNOWN = new AnswerLimits(MAX_CHUNK_BYTES, Integer.MAX_VALUE,
+            UNKNOWN_SLOW_EVENT_BYTES);
 
     /** Returns the limits for an answer of so many tokens at most; 0 if that is not known. */
     public static AnswerLimits of(double maxOutputTokens) {
--- a/src/test/java/maplerail/policy/StreamProgressTest.java
+++ b/src/test/java/maplerail/policy/StreamProgressTest.java
@@ -58,7 +58,7 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"0,1048576,2147483647,262144", "-5,1048576,2147483647,262144", "NaN,1048576,2147483647,262144",
+    @CsvSource({"0,1048576,2147483647,65536", "-5,1048576,2147483647,65536", "NaN,1048576,2147483647,65536",
             "100,167936,116,22784", "1000000,1048576,1000016,262144", "1e300,1048576,2147483647,262144"})
     void limitsFollowFromTheTokensOfAnAnswer(double tokens, int chunkBytes, int chunkEvents, int slowEventBytes) {
         assertThat(AnswerLimits.of(tokens)).isEqualTo(new AnswerLimits(chunkBytes, chunkEvents, slowEventBytes));
