Count unfinished events of engines as held memory, and let the largest yield

Cause: ClientMemory knows what clients make the gateway hold; what engines do was bounded for each stream alone, not over all of them. Since chunks are passed on as they arrive, the unfinished event is all that a stream holds. A stream's buffer no longer keeps the size of its largest event.

--- a/src/main/java/maplerail/cli/Gateway.java
+++ b/src/main/java/maplerail/cli/Gateway.java
@@ -100,11 +100,11 @@
         ConnectionPool pool = new ConnectionPool(loop, buffers, config.connections().connIdleMs(),
                 config.connections().connectTimeoutMs(),
                 sockets - RESERVED_SOCKETS - sockets * HTTP_CLIENT_PERCENT / 100 - toolSockets);
-        engines = new EngineClient(pool);
         Router.Settings settings = config.settings();
         Consumer<String> log = line -> LOG.info("{}", line);
         memory = new ClientMemory(
                 new MemoryLimits(Runtime.getRuntime().maxMemory() / 100 * CLIENT_MEMORY_PERCENT), loop, log);
+        engines = new EngineClient(pool, memory);
         Quotas quotas = new Quotas(Budgets.withoutQuotas(config.connections().maxOpenRequests()), loop, log, memory);
         broker = new Broker(new Logic(settings), settings, quotas, loop, engines, log);
         double longestDeadlineMs = settings.classes().stream().mapToDouble(Router.RequestClass::deadlineMs).max()
--- a/src/main/java/maplerail/core/ClientMemory.java
+++ b/src/main/java/maplerail/core/ClientMemory.java
@@ -1,5 +1,6 @@
 package maplerail.core;
 
+import java.util.Collections;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -8,7 +9,7 @@
 
 /**
  * Counts the bytes that are held for clients, by kind, against limits. When a limit is reached, the incomplete request
- * that has been quiet for longest yields. All calls must be made on the loop.
+ * that has been quiet for longest yields, or the largest unfinished event. All calls must be made on the loop.
  */
 public final class ClientMemory {
     /** What bytes are held for. */
@@ -20,7 +21,9 @@
         /** What clients have sent after a request that is not answered yet. */
         PIPELINED_REQUEST,
         /** Parts of answers that their clients have not read yet. */
-        UNREAD_ANSWER
+        UNREAD_ANSWER,
+        /** Parts of events that engines have not sent in full yet. */
+        UNFINISHED_EVENT
     }
 
     /** A request of which a part has arrived. */
@@ -29,6 +32,12 @@
         void yieldMemory();
     }
 
+    /** A part of an event that its engine has not sent in full yet. */
+    public interface UnfinishedEvent {
+        /** Lets go of what has arrived, which breaks the stream; the memory no longer counts it. */
+        void yieldMemory();
+    }
+
     private static final double LOG_INTERVAL_MS = 1_000;
 
     private final MemoryLimits limits;
@@ -37,9 +46,11 @@
     private final long[] heldBytes = new long[Kind.values().length];
     /** Bytes of each incomplete request; the one that has been quiet for longest comes first. */
     private final Map<IncompleteRequest, Integer> incompleteRequests = new LinkedHashMap<>(16, 0.75f, true);
+    private final Map<UnfinishedEvent, Integer> unfinishedEvents = new LinkedHashMap<>();
     private long totalBytes;
     private long peakBytes;
     private long yielded;
+    private long yieldedEvents;
     private double loggedMs = Double.NEGATIVE_INFINITY;
 
     /** Creates an account on which nothing is held; logs when a limit is reached. */
@@ -67,6 +78,23 @@
         if (bytes != null) add(Kind.INCOMPLETE_REQUEST, -bytes);
     }
 
+    /** Sets how many bytes are held of an event that is not whole, 0 if none, and makes the largest ones yield if need be. */
+    public void setUnfinishedEvent(UnfinishedEvent event, int bytes) {
+        Integer before = bytes == 0 ? unfinishedEvents.remove(event) : unfinishedEvents.put(event, bytes);
+        add(Kind.UNFINISHED_EVENT, bytes - (before == null ? 0 : before));
+        while (limits.mustUnfinishedEventYield(held(Kind.UNFINISHED_EVENT))) yieldLargestEvent();
+    }
+
+    private void yieldLargestEvent() {
+        Map.Entry<UnfinishedEvent, Integer> largest = Collections.max(unfinishedEvents.entrySet(),
+                Map.Entry.comparingByValue());
+        UnfinishedEvent event = largest.getKey();
+        logLimitReached();
+        yieldedEvents++;
+        setUnfinishedEvent(event, 0);
+        event.yieldMemory();
+    }
+
     /** Returns whether a complete request may be held; incomplete requests yield before it is refused. */
     boolean hasRoomFor(int requestBytes) {
         makeRoom(requestBytes);
@@ -114,6 +142,7 @@
         StringBuilder line = new StringBuilder(120);
         for (Kind kind : Kind.values()) line.append(kind).append('=').append(held(kind)).append(' ');
         return line.append("of ").append(limits.totalBytes()).append(" bytes, at most ").append(peakBytes)
-                .append(" so far; incomplete requests that had to yield: ").append(yielded).toString();
+                .append(" so far; incomplete requests that had to yield: ").append(yielded).append(", events: ")
+                .append(yieldedEvents).toString();
     }
 }
--- a/src/main/java/maplerail/net/Call.java
+++ b/src/main/java/maplerail/net/Call.java
@@ -142,6 +142,7 @@
         if (done) return;
         parser.discardRest();
         finish();
+        handler.closed();
     }
 
     /** Stops reading the response, so that its sender is held back by flow control. */
@@ -325,6 +326,7 @@
         finish();
         if (reusable) pool.putIdle(used);
         handler.end();
+        handler.closed();
     }
 
     /** Fails the call if it still has no connection at its connection timeout. */
@@ -343,6 +345,7 @@
             if (done) return;
             finish();
             handler.failed(failure());
+            handler.closed();
         });
     }
 
@@ -369,6 +372,5 @@
         cancelTimeout();
         if (cancelConnect != null) cancelConnect.run();
         if (connection != null) connection.abort();
-        handler.closed();
     }
 }
--- a/src/main/java/maplerail/net/EngineClient.java
+++ b/src/main/java/maplerail/net/EngineClient.java
@@ -17,6 +17,7 @@
 import maplerail.config.ConfigException;
 import maplerail.config.JsonValue;
 import maplerail.core.ServiceRequest;
+import maplerail.core.ClientMemory;
 import maplerail.core.EngineTransport;
 import maplerail.policy.AnswerLimits;
 
@@ -30,12 +31,14 @@
 
     private final ConnectionPool pool;
     private final XnioLoop loop;
+    private final ClientMemory memory;
     private final Map<Long, InetSocketAddress> addresses = new HashMap<>();
 
-    /** Creates a client that takes its connections from a pool. */
-    public EngineClient(ConnectionPool pool) {
+    /** Creates a client that takes its connections from a pool and counts what it holds of unfinished events. */
+    public EngineClient(ConnectionPool pool, ClientMemory memory) {
         this.pool = pool;
         this.loop = pool.loop();
+        this.memory = memory;
     }
 
     /** Adds the addresses of engines. An engine that left the list keeps its address, as it may still hold a state. */
@@ -69,11 +72,13 @@
     }
 
     /** Maps the response of an engine to the outcome of an attempt. */
-    private final class EngineResponseHandler implements ResponseHandler, EventSplitter.Sink {
+    private final class EngineResponseHandler
+            implements ResponseHandler, EventSplitter.Sink, ClientMemory.UnfinishedEvent {
         private final AnswerListener listener;
         private final AnswerLimits limits;
         private Call call;
         private boolean ended;
+        private boolean yielded;
         private final EventSplitter events;
         private final ByteArrayOutputStream textBody = new ByteArrayOutputStream();
         private Outcome headOutcome;
@@ -148,10 +153,26 @@
                 abortStream("not a stream of events");
                 return;
             }
+            if (!yielded) memory.setUnfinishedEvent(this, events.unfinishedBytes());
             if (events.textArrived()) listener.textArrived(events.unfinishedBytes());
             if (events.lastEventArrived()) listener.lastEvent();
         }
 
+        /** Breaks the stream, but not while another call is being handled. */
+        @Override
+        public void yieldMemory() {
+            yielded = true;
+            loop.execute(() -> {
+                if (!call.done()) abortStream("an unfinished event had to yield its memory");
+            });
+        }
+
+        @Override
+        public void closed() {
+            if (!yielded) memory.setUnfinishedEvent(this, 0);
+            events.discard();
+        }
+
         private void abortStream(String flaw) {
             call.abort();
             call.recordFlaw(flaw);
--- a/src/main/java/maplerail/net/EventSplitter.java
+++ b/src/main/java/maplerail/net/EventSplitter.java
@@ -31,7 +31,7 @@
     private static final Set<String> EVENT_FIELDS = Set.of("data", "event", "id", "retry");
 
     private final int maxChunkEvents;
-    private final ByteArrayOutputStream pending = new ByteArrayOutputStream();
+    private ByteArrayOutputStream pending = new ByteArrayOutputStream();
     /** The first bytes of the current line. */
     private final byte[] lineStart = new byte[KEPT_LINE_BYTES];
     private int lineLength;
@@ -88,7 +88,8 @@
     private void passOn(byte[] bytes, int end, boolean eventEnded, Sink sink) {
         pending.write(bytes, 0, end);
         byte[] complete = pending.toByteArray();
-        pending.reset();
+        // A new buffer, as the old one keeps the size of the largest event.
+        pending = new ByteArrayOutputStream();
         if (eventEnded) sink.events(complete);
         else sink.comments(complete);
     }
@@ -193,6 +194,11 @@
         return pending.size();
     }
 
+    /** Lets go of what is held. */
+    void discard() {
+        pending = new ByteArrayOutputStream();
+    }
+
     /** Returns the bytes received after the last complete event. */
     byte[] remainder() {
         return pending.toByteArray();
--- a/src/main/java/maplerail/net/ResponseHandler.java
+++ b/src/main/java/maplerail/net/ResponseHandler.java
@@ -28,7 +28,7 @@
     /** Called if there is no response or if it is incomplete. */
     void failed(Failure failure);
 
-    /** Called once when the call is over, however it ends, before its end is reported. */
+    /** Called last, once the call is over, however it ended. */
     default void closed() {}
 
     /** Why a call has no complete response. */
--- a/src/test/java/maplerail/cli/ClientMemoryIT.java
+++ b/src/test/java/maplerail/cli/ClientMemoryIT.java
@@ -37,7 +37,7 @@
     private static final int PATIENCE_MS = 8_000;
     private static final double BURST_END_MS = 500; // a connection right after a burst counts as part of it
     private static final String NOTHING_HELD = "memory for clients: INCOMPLETE_REQUEST=0 OPEN_REQUEST=0 "
-            + "PIPELINED_REQUEST=0 UNREAD_ANSWER=0 of ";
+            + "PIPELINED_REQUEST=0 UNREAD_ANSWER=0 UNFINISHED_EVENT=0 of ";
     private static final int STACK_BYTES = 256 * 1_024;
     private static final String REQUEST_TARGET = "/v1/chat/completions";
     private static final int MEBIBYTE = 1 << 20;
--- a/src/test/java/maplerail/net/EngineClientTest.java
+++ b/src/test/java/maplerail/net/EngineClientTest.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
 import maplerail.Router.Outcome;
+import maplerail.core.ClientMemory;
 import maplerail.core.ServiceRequest;
 import maplerail.core.EngineTransport;
 import maplerail.support.StandIn;
@@ -33,7 +34,7 @@
 
     private EngineClient client(StandIn engine, int connections) {
         ConnectionPool pool = testLoop.pool(30_000, CONNECT_TIMEOUT_MS, connections);
-        EngineClient client = new EngineClient(pool);
+        EngineClient client = new EngineClient(pool, ClientMemory.unlimited(loop));
         client.addAddresses(Map.of(ENGINE, engine.socketAddress()));
         return client;
     }
