Close the connection of a release whose answer does not end

Cause, the class of the incident: a release is answered with its head, and its rest was read without a bound of its own, as any byte was taken for an answer that goes on. The rest has 1 s now. The other side: an answer that takes 0.4 s leaves its connection to the next release.

The test's stand-in now records the time also where the close breaks its write, and uses one pool for both releases; its check and bound are the same.

--- a/src/main/java/maplerail/net/ReleaseCall.java
+++ b/src/main/java/maplerail/net/ReleaseCall.java
@@ -24,6 +24,8 @@
     /** Delay after a failed try while no other is in flight. */
     private static final double RETRY_DELAY_MS = 30;
     private static final int MAX_IN_FLIGHT = 3;
+    /** Longest time from the head of a response to its end; a longer body is not worth the connection. */
+    private static final double MAX_BODY_MS = 1_000;
 
     private final ConnectionPool pool;
     private final EventLoop loop;
@@ -94,10 +96,11 @@
 
     /**
      * Handles the head of a response. The call is not aborted but read to its end, so that its connection can be
-     * reused.
+     * reused, unless that end does not come.
      */
     private void onAnswered(Call call) {
         if (done) return;
+        loop.schedule(loop.nowMs() + MAX_BODY_MS, call::abort);
         inFlight.remove(call);
         finish(true);
     }
--- a/src/test/java/maplerail/net/DrippingReleaseTest.java
+++ b/src/test/java/maplerail/net/DrippingReleaseTest.java
@@ -21,15 +21,15 @@
 
     @RegisterExtension
     private final TestLoop testLoop;
+    private final EngineClient client;
     private final BlockingQueue<Boolean> answered = GatewayFixture.queue();
 
     DrippingReleaseTest() throws Exception {
         testLoop = new TestLoop();
+        client = new EngineClient(testLoop.pool(30_000, 500, 50), ClientMemory.unlimited(testLoop.loop()));
     }
 
-    private void release(StandIn engine) throws Exception {
-        EngineClient client = new EngineClient(testLoop.pool(30_000, 500, 50),
-                ClientMemory.unlimited(testLoop.loop()));
+    private void release(StandIn engine) {
         client.addAddresses(Map.of(ENGINE, engine.socketAddress()));
         double deadlineMs = testLoop.loop().nowMs() + 2_000;
         testLoop.loop().execute(() -> client.release(ENGINE, "a1", deadlineMs,
@@ -45,11 +45,14 @@
         try (StandIn engine = new StandIn(exchange -> {
             exchange.write(begin);
             double startMs = System.nanoTime() / 1e6;
-            while (!exchange.isClosedByPeer() && System.nanoTime() / 1e6 < startMs + 2 * MAX_OPEN_MS) {
-                TimeUnit.MILLISECONDS.sleep(100);
-                exchange.write("1");
+            try {
+                while (!exchange.isClosedByPeer() && System.nanoTime() / 1e6 < startMs + 2 * MAX_OPEN_MS) {
+                    TimeUnit.MILLISECONDS.sleep(100);
+                    exchange.write("1");
+                }
+            } finally {
+                openMs.add(System.nanoTime() / 1e6 - startMs);
             }
-            openMs.add(System.nanoTime() / 1e6 - startMs);
         })) {
             release(engine);
             assertThat(GatewayFixture.take(answered)).isTrue();
