--- a/src/main/java/maplerail/cli/Main.java
+++ b/src/main/java/maplerail/cli/Main.java
@@ -113,6 +113,7 @@
             out.println("maplerail: the configuration of " + config.name() + " is valid");
             return 0;
         }
+        ThreadDeathHandler.install();
         Gateway gateway = new Gateway(config, tools);
         reloadOnSighup(gateway, file, toolsFile, environment);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
--- a/src/test/java/maplerail/cli/DeadThreadIT.java
+++ b/src/test/java/maplerail/cli/DeadThreadIT.java
@@ -3,6 +3,8 @@
 import static maplerail.support.GatewayFixture.await;
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.io.IOException;
+import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import maplerail.support.GatewayFixture;
@@ -41,13 +43,23 @@
         }
     }
 
+    /** Connects, as a thread that waits for connections dies once it has something to do. */
+    private static boolean hasEndedOnceAsked(GatewayProgram gateway) {
+        try {
+            new Socket("127.0.0.1", gateway.port()).close();
+        } catch (IOException e) {
+            return !gateway.process().isAlive(); // nobody listens any more
+        }
+        return !gateway.process().isAlive();
+    }
+
     /** Guards against a process that goes on running and answers nobody, as nothing starts it again. */
     @ParameterizedTest
     @ValueSource(strings = {"XNIO-1 Accept", "XNIO-1 I/O-1"})
     void aProcessWhoseServingThreadHasDiedEnds(String thread) throws Exception {
         withGateway(thread, (gateway, signal) -> {
             Files.createFile(signal);
-            await("the process has ended", () -> !gateway.process().isAlive());
+            await("the process has ended", () -> hasEndedOnceAsked(gateway));
             assertThat(gateway.process().exitValue()).as(gateway.log()).isEqualTo(EXIT_STATUS);
         });
     }
