--- a/src/test/java/maplerail/cli/SpoiltStreamIT.java
+++ b/src/test/java/maplerail/cli/SpoiltStreamIT.java
@@ -21,6 +21,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 import maplerail.support.GatewayFixture;
 import maplerail.support.GatewayProgram;
@@ -215,12 +216,17 @@
         }
     }
 
+    /** What happens to the gateway while the streams are under way. */
+    private interface Trouble {
+        void cause(GatewayProgram gateway) throws Exception;
+    }
+
     private interface Check {
         String fault(StreamForm form, Received received);
     }
 
     /** Plays all forms at once and returns what was wrong with each, by its name. */
-    private Map<String, String> faults(Collection<StreamForm> all, Check check) throws Exception {
+    private Map<String, String> faults(Collection<StreamForm> all, Check check, Trouble trouble) throws Exception {
         Map<String, StreamForm> forms = new LinkedHashMap<>();
         for (StreamForm form : all) forms.put("f" + forms.size(), form);
         Map<String, String> faults = new LinkedHashMap<>();
@@ -236,6 +242,8 @@
             int port = gateway.readyPort();
             Map<String, Future<Received>> answers = new LinkedHashMap<>();
             for (String id : forms.keySet()) answers.put(id, clients.submit(() -> exchange(port, id)));
+            GatewayFixture.await("all streams have begun", () -> writer.count("POST") == forms.size());
+            trouble.cause(gateway);
             for (Map.Entry<String, Future<Received>> answer : answers.entrySet()) {
                 StreamForm form = forms.get(answer.getKey());
                 Received received = answer.getValue().get();
@@ -289,14 +297,32 @@
     /** Guards against leaving a client waiting on a spoilt stream whose bytes keep coming. */
     @Test
     void aSpoiltStreamEndsItsClientsConnectionInTime() throws Exception {
-        Map<String, String> faults = faults(spoiltForms(), SpoiltStreamIT::spoiltFault);
+        Map<String, String> faults = faults(spoiltForms(), SpoiltStreamIT::spoiltFault, gateway -> {});
+        assertThat(faults).as(describe(faults)).isEmpty();
+    }
+
+    /** Guards against spoilt streams that keep a gateway from ending, or clients waiting, after SIGTERM. */
+    @Test
+    void aSpoiltStreamEndsItsClientsConnectionInTimeWhileTheGatewayDrains() throws Exception {
+        Map<String, String> faults = faults(spoiltForms(), SpoiltStreamIT::spoiltFault, gateway -> {
+            gateway.signal("TERM");
+            assertThat(gateway.process().waitFor(2 * (long) END_TIMEOUT_MS, TimeUnit.MILLISECONDS)).isTrue();
+        });
         assertThat(faults).as(describe(faults)).isEmpty();
     }
 
     /** Guards against cutting a sound stream, or holding its events back, for the way in which it arrives. */
     @Test
     void aSoundStreamIsPassedOnWholeAndWithoutDelay() throws Exception {
-        Map<String, String> faults = faults(soundForms(), SpoiltStreamIT::soundFault);
+        Map<String, String> faults = faults(soundForms(), SpoiltStreamIT::soundFault, gateway -> {});
+        assertThat(faults).as(describe(faults)).isEmpty();
+    }
+
+    /** Guards against cutting sound streams, or holding them back, as the gateway drains. */
+    @Test
+    void aSoundStreamIsPassedOnWholeAndWithoutDelayWhileTheGatewayDrains() throws Exception {
+        Map<String, String> faults = faults(soundForms(), SpoiltStreamIT::soundFault,
+                gateway -> gateway.signal("TERM"));
         assertThat(faults).as(describe(faults)).isEmpty();
     }
 }
