--- a/src/main/java/maplerail/core/AttemptRunner.java
+++ b/src/main/java/maplerail/core/AttemptRunner.java
@@ -11,7 +11,6 @@
 import maplerail.policy.ProtocolRules.ClientPresence;
 import maplerail.policy.ProtocolRules.Reason;
 import maplerail.policy.StateLease;
-import maplerail.policy.StreamProgress;
 
 /** Makes the attempts that the module orders, ends them and reports their outcomes to the module. */
 final class AttemptRunner {
@@ -35,6 +34,7 @@
     private final ServiceCounters counters;
     private final FailureLog failureLog;
     private final Consumer<String> log;
+    private final StreamSupervisor streams;
     private final Set<ActiveRequest> requestsToSettle = new LinkedHashSet<>();
     private DecisionLoop decisions;
     private Consumer<ActiveRequest> disconnectHandler;
@@ -56,6 +56,7 @@
         this.counters = counters;
         this.failureLog = failureLog;
         this.log = log;
+        this.streams = new StreamSupervisor(loop, counters, attempt -> abort(attempt, Outcome.RESET));
     }
 
     /** Sets the receiver of attempt events and the handler for callers that are found to have disconnected. */
@@ -197,7 +198,7 @@
         if (active.winner == null && !active.answered) {
             active.winner = attempt;
             attempt.timeout.cancel();
-            scheduleProgressCheck(attempt);
+            streams.supervise(attempt);
             active.deadlineGuard.cancel();
             heldStates.onStreamStarted(active);
             registry.discardPayload(active);
@@ -208,29 +209,6 @@
         else abort(attempt, Outcome.CANCELLED);
     }
 
-    /**
-     * Schedules a check of a stream's progress. Guards against an engine that falls silent in the middle of a stream, or
-     * goes on with what is no answer: its connection stays open and no deadline applies any more, so the client would
-     * wait forever instead of requesting the rest elsewhere.
-     */
-    private void scheduleProgressCheck(ActiveRequest.Attempt attempt) {
-        // A paused stream can't go on; its time starts anew with its end.
-        double checkMs = attempt.paused ? loop.nowMs() + StreamProgress.STALL_TIMEOUT_MS : attempt.progress.endByMs();
-        attempt.timeout = loop.schedule(checkMs,
-                () -> attempt.timeout = loop.runAfterInput(() -> checkProgress(attempt)));
-    }
-
-    private void checkProgress(ActiveRequest.Attempt attempt) {
-        if (attempt.ended) return;
-        if (attempt.paused || loop.nowMs() < attempt.progress.endByMs()) {
-            scheduleProgressCheck(attempt);
-            return;
-        }
-        attempt.flaw = attempt.progress.flaw();
-        counters.count(attempt.flaw);
-        abort(attempt, Outcome.RESET);
-    }
-
     /**
      * Fails a request that an engine rejected as invalid. Guards against sending it to one engine after another, which
      * would use up all its attempts and make the module count each engine as failing.
