--- a/src/main/java/maplerail/discovery/PlatformWatch.java
+++ b/src/main/java/maplerail/discovery/PlatformWatch.java
@@ -163,6 +163,7 @@
             WatchCall replaced = current;
             newestVersion = list.version();
             version = newestVersion;
+            unconfirmed = false;
             poll();
             replaced.abort(replaced.call);
             onList.accept(list);
