Soak: spoilt streams, and a rule for clients that are left waiting on them

The soak had no spoilt streams, and noted a stalled stream without counting it; so the incident could not show there. New: the trouble streams_spoilt (ten forms) and the rule STREAM_LEFT_OPEN, 5 s after the last event. The trouble is not among the default ones, so that the seeds of the list keep their draws.

--- a/src/test/java/maplerail/soak/EngineStandIn.java
+++ b/src/test/java/maplerail/soak/EngineStandIn.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
+import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.ThreadLocalRandom;
 import maplerail.support.StandIn;
@@ -13,12 +14,23 @@
     /**
      * How the engine treats requests. The process of a STOPPED engine does not run, while its operating system still
      * accepts connections and bytes for it. The connections of a reader that LOSES_READS fall silent in the middle of
-     * their reads, and the reads go on.
+     * their reads, and the reads go on. The streams of a writer that SPOILS become spoilt behind some sound events, and
+     * bytes keep coming.
      */
     enum Behaviour {
-        HEALTHY, HANGS, FAILS, RESETS, SLOW, DECLINES, STOPPED, LOSES_READS
+        HEALTHY, HANGS, FAILS, RESETS, SLOW, DECLINES, STOPPED, LOSES_READS, SPOILS
     }
 
+    /** What follows the sound events of a spoilt stream: a text, and another one again and again. */
+    private record Spoil(String begin, String rest) {}
+
+    private static final List<Spoil> SPOILS = List.of(new Spoil("", "0"), new Spoil("1f;", "x"),
+            new Spoil("400\r\n", " "), new Spoil("400\r\ndata: 1\n\n\r\n", "9\r\ndata: 1\n\n\r\n"),
+            new Spoil("4000\r\n", "noise ".repeat(500)), new Spoil("c0000000\r\n", "data: 1\n\n"),
+            new Spoil("3\r\n: x", " "), new Spoil("0\r\n", "X-A: b\r\n"), new Spoil("", "5\r\n: x\n\n\r\n"),
+            new Spoil("e\r\ndata: [DONE]\n\n\r\n", "5\r\n: x\n\n\r\n"));
+    private static final int SPOIL_INTERVAL_MS = 250;
+
     private static final int READ_MS = 60;
     private static final int STOPPED_POLL_MS = 5;
     private static final int EVENT_COUNT = 6;
@@ -174,13 +186,19 @@
         }
         Thread.sleep((long) slowdown * jitter(settings.firstTokenMs));
         exchange.startStream();
-        for (int i = 0; i < EVENT_COUNT && ownIncarnation == incarnation; i++) {
+        boolean spoils = behaviour == Behaviour.SPOILS;
+        int eventCount = spoils ? ThreadLocalRandom.current().nextInt(1, EVENT_COUNT) : EVENT_COUNT;
+        for (int i = 0; i < eventCount && ownIncarnation == incarnation; i++) {
             String event = String.format(Locale.ROOT, "data: {\"at\":\"%s\",\"n\":%d}\n\n", host, i);
             ledger.streamed(attempt, event, false);
             exchange.chunk(event);
             Thread.sleep((long) slowdown * jitter(EVENT_INTERVAL_MS));
         }
         if (ownIncarnation != incarnation) return;
+        if (spoils) {
+            spoil(exchange, attempt, ownIncarnation);
+            return;
+        }
         String done = "data: [DONE]\n\n";
         ledger.streamed(attempt, done, false);
         exchange.chunk(done);
@@ -189,6 +207,16 @@
         ledger.attemptEnded(attempt, "whole stream", false);
     }
 
+    private void spoil(Exchange exchange, Ledger.Attempt attempt, int ownIncarnation) throws Exception {
+        ledger.spoilt(attempt);
+        Spoil form = SPOILS.get(ThreadLocalRandom.current().nextInt(SPOILS.size()));
+        exchange.write(form.begin());
+        while (ownIncarnation == incarnation && !exchange.isClosedByPeer()) {
+            Thread.sleep(SPOIL_INTERVAL_MS);
+            exchange.write(form.rest());
+        }
+    }
+
     /**
      * Counts an arrival, and reports a breach if a cold engine got more requests within the overload window than its
      * true age allows.
--- a/src/test/java/maplerail/soak/FaultSoak.java
+++ b/src/test/java/maplerail/soak/FaultSoak.java
@@ -33,7 +33,8 @@
         options.addOption(null, "runs", true, "number of consecutive seeds (1)");
         options.addOption(null, "seconds", true, "duration of the troubles in each run, in seconds (25)");
         options.addOption(null, "gateways", true, "number of gateway processes (10)");
-        options.addOption(null, "trouble", true, "inject only these troubles, separated by commas (all)");
+        options.addOption(null, "trouble", true,
+                "inject only these troubles, separated by commas (all but streams_spoilt)");
         options.addOption(null, "folder", true, "folder for logs and control files (target/soak)");
         CommandLine line = new DefaultParser().parse(options, args);
         long first = Long.parseLong(line.getOptionValue("seed", "1"));
@@ -51,7 +52,7 @@
     }
 
     private static List<Trouble> parseTroubles(String names) {
-        if (names == null) return List.of(Trouble.values());
+        if (names == null) return Trouble.DEFAULTS;
         List<Trouble> chosen = new ArrayList<>();
         for (String name : names.split(",")) chosen.add(Trouble.valueOf(name.toUpperCase(Locale.ROOT)));
         return chosen;
@@ -80,6 +81,7 @@
                 fleet.ledger.recordBreach(Ledger.Rule.SERVICE_AFTER_TROUBLE, null, String.format(Locale.ROOT,
                         "%s served a share of %.2f after all troubles had ended", fleet.gateways.get(i).name, share));
             }
+            fleet.ledger.checkOpenStreams();
             int breaches = fleet.ledger.breachCount();
             long logged = fleet.loggedBreaches();
             String report = "seed " + seed + ": deadline " + Math.round(settings.deadlineMs) + ", pin limit "
--- a/src/test/java/maplerail/soak/FaultSoakIT.java
+++ b/src/test/java/maplerail/soak/FaultSoakIT.java
@@ -17,13 +17,13 @@
 
     @Test
     void noRuleIsBrokenUnderTroublesOfAllKinds() throws Exception {
-        assertThat(FaultSoak.runSeed(6001, SECONDS, GATEWAYS, List.of(Trouble.values()), FOLDER)).isZero();
+        assertThat(FaultSoak.runSeed(6001, SECONDS, GATEWAYS, Trouble.DEFAULTS, FOLDER)).isZero();
     }
 
     /** Among the troubles of this seed, a reader loses reads and other readers stop right after. */
     @Test
     void noRuleIsBrokenUnderTroublesOfAllKindsWithReadersThatLoseReads() throws Exception {
-        assertThat(FaultSoak.runSeed(6003, SECONDS, GATEWAYS, List.of(Trouble.values()), FOLDER)).isZero();
+        assertThat(FaultSoak.runSeed(6003, SECONDS, GATEWAYS, Trouble.DEFAULTS, FOLDER)).isZero();
     }
 
     @Test
@@ -42,4 +42,11 @@
         List<Trouble> troubles = List.of(Trouble.WRITERS_STOP, Trouble.ROLLING_RESTART);
         assertThat(FaultSoak.runSeed(6002, SECONDS, GATEWAYS, troubles, FOLDER)).isZero();
     }
+
+    /** Guards against clients that are left waiting on spoilt streams. */
+    @Test
+    void noRuleIsBrokenWhileStreamsAreSpoilt() throws Exception {
+        List<Trouble> troubles = List.of(Trouble.STREAMS_SPOILT, Trouble.ENGINE_DRAINS);
+        assertThat(FaultSoak.runSeed(6004, SECONDS, GATEWAYS, troubles, FOLDER)).isZero();
+    }
 }
--- a/src/test/java/maplerail/soak/Ledger.java
+++ b/src/test/java/maplerail/soak/Ledger.java
@@ -16,7 +16,7 @@
 final class Ledger {
     /** The rules that a gateway must obey. */
     enum Rule {
-        FINAL_ANSWER, CONNECTION_CLOSED_OVER_A_REQUEST, WHOLE_STREAM, ONE_EFFECT, REPEAT_GROUP, REFUSAL, ONE_ATTEMPT_OUT, ATTEMPT_LIMIT, DRAIN, HELD_STATE, CLIENT_GONE, TOLD_DEADLINE, UNKNOWN_REQUEST, COLD_OVERLOAD, BAD_CLIENT, READY_IN_TIME, CRASH, SERVICE_AFTER_TROUBLE
+        FINAL_ANSWER, CONNECTION_CLOSED_OVER_A_REQUEST, WHOLE_STREAM, STREAM_LEFT_OPEN, ONE_EFFECT, REPEAT_GROUP, REFUSAL, ONE_ATTEMPT_OUT, ATTEMPT_LIMIT, DRAIN, HELD_STATE, CLIENT_GONE, TOLD_DEADLINE, UNKNOWN_REQUEST, COLD_OVERLOAD, BAD_CLIENT, READY_IN_TIME, CRASH, SERVICE_AFTER_TROUBLE
     }
 
     /** How often a request of a class may take effect. */
@@ -39,6 +39,7 @@
     private static final double MAX_OVERLAP_MS = 250; // the proxy may delay bytes, and so a close, for 200 ms
     private static final double FORWARDED_DEADLINE_SLACK_MS = 150;
     private static final double HELD_SLACK_MS = 300;
+    private static final double STREAM_END_MS = 5_000; // after the last event of a stream that is not whole
     private static final int MAX_REPORTS_PER_RULE = 3;
     private static final double REFUSAL_TIME_MS = 200; // within which a gateway that is shutting down refuses a request
     private static final double PAUSE_NOTE_WINDOW_MS = 1_000;
@@ -91,6 +92,8 @@
         /** When the last byte was written on the current connection; NaN before that. */
         double fullySentMs = Double.NaN;
         double clientLeftMs = Double.NaN;
+        /** When the last part of a stream that is open reached the client; NaN if there is none. */
+        double lastEventMs = Double.NaN;
         boolean gatewayKilled;
         /** True if the request arrived long after SIGTERM and the gateway was killed before it sent the due answer. */
         boolean answerWasDue;
@@ -122,6 +125,7 @@
         boolean provenNotRun;
         boolean finished;
         boolean disturbed;
+        boolean spoilt;
         String streamed = "";
 
         Attempt(Request request, String engine, boolean reader, double beganMs) {
@@ -329,6 +333,36 @@
         attempt.finished |= last;
     }
 
+    /** Records that a stream becomes spoilt now. */
+    synchronized void spoilt(Attempt attempt) {
+        attempt.spoilt = true;
+        attempt.request.note("stream of " + attempt.engine + " spoilt");
+    }
+
+    /** Records that a part of a stream, or its head, has reached the client. */
+    synchronized void streamArrived(Request request) {
+        request.lastEventMs = nowMs();
+    }
+
+    /** Records that the client's connection has ended, and checks that a spoilt stream ended in time. */
+    synchronized void streamEnded(Request request) {
+        checkSpoiltStream(request);
+        request.lastEventMs = Double.NaN;
+    }
+
+    /** Checks the spoilt streams that are still open at the end of a run. */
+    synchronized void checkOpenStreams() {
+        requests.values().forEach(this::checkSpoiltStream);
+    }
+
+    private void checkSpoiltStream(Request request) {
+        double openMs = nowMs() - request.lastEventMs;
+        boolean spoilt = request.attempts.stream().anyMatch(attempt -> attempt.spoilt);
+        if (request.gatewayKilled || !Double.isNaN(request.clientLeftMs) || !spoilt) return;
+        if (openMs > STREAM_END_MS + SCHEDULING_SLACK_MS)
+            recordBreach(Rule.STREAM_LEFT_OPEN, request, "spoilt stream open for " + Math.round(openMs) + " ms");
+    }
+
     /** Records that the gateway has closed a connection, whether or not the engine can know. */
     synchronized void connectionClosed(int connection) {
         Attempt attempt = attemptsByConnection.remove(connection);
--- a/src/test/java/maplerail/soak/LoadClients.java
+++ b/src/test/java/maplerail/soak/LoadClients.java
@@ -195,7 +195,10 @@
     }
 
     private void handleTimeout(Ledger.Request request, Answer answer) {
-        if (answer.status == 200) ledger.note(request, "stream stalled");
+        if (answer.status == 200) {
+            ledger.note(request, "stream stalled");
+            ledger.streamEnded(request);
+        }
         if (request.gatewayKilled || answer.status == 200) return;
         ledger.recordBreach(Ledger.Rule.FINAL_ANSWER, request,
                 "no answer " + Math.round(Ledger.nowMs() - request.deadlineMs) + " ms after the deadline");
@@ -221,6 +224,7 @@
         }
         if (answer.status == 200) {
             ledger.checkStream(request, answer.events.toString(), false);
+            ledger.streamEnded(request);
             ledger.answered(request, "broken");
             return;
         }
@@ -235,6 +239,7 @@
         }
         if (answer.status == 200) {
             ledger.checkStream(request, answer.events.toString(), true);
+            ledger.streamEnded(request);
             ledger.answered(request, "served");
             if (counted) quietServed.incrementAndGet();
         } else {
@@ -290,14 +295,15 @@
                 if (lower.startsWith("connection:") && lower.contains("close")) keepAlive = false;
                 chunked |= lower.startsWith("transfer-encoding:");
             }
-            if (chunked) readChunks(in);
+            if (chunked) readChunks(in, request);
             else in.readNBytes(length);
             done = true;
         }
 
-        private void readChunks(InputStream in) throws IOException {
+        private void readChunks(InputStream in, Ledger.Request request) throws IOException {
             for (int size = readChunkSize(in); size > 0; size = readChunkSize(in)) {
                 events.append(new String(in.readNBytes(size), StandardCharsets.UTF_8));
+                ledger.streamArrived(request);
                 readLine(in);
             }
             readLine(in);
--- a/src/test/java/maplerail/soak/Trouble.java
+++ b/src/test/java/maplerail/soak/Trouble.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.Socket;
 import java.util.ArrayList;
+import java.util.EnumSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.SplittableRandom;
@@ -250,8 +251,19 @@
                 reader.setBehaviour(Behaviour.HEALTHY);
             });
         }
+    },
+    /** Streams of writers become spoilt behind sound events, and bytes keep coming for as long as they are open. */
+    STREAMS_SPOILT {
+        @Override
+        void inject(SoakFleet fleet, SplittableRandom random) throws Exception {
+            fleet.withRole(false, random, engine -> engine.setBehaviour(Behaviour.SPOILS),
+                    engine -> engine.setBehaviour(Behaviour.HEALTHY), 800 + random.nextInt(2_400));
+        }
     };
 
+    /** The troubles that a run draws from by default; a seed keeps its draws only as long as they are the same. */
+    static final List<Trouble> DEFAULTS = List.copyOf(EnumSet.range(RESTART, READER_LOSES_READS));
+
     private static final int STALL_MS = 120; // up to 150 ms including the time to send the signals
     private static final int MAX_GATEWAYS_IN_TURN = 3;
     private static final int CROWD_SIZE = 150; // idle clients: over half of the connections that one gateway allows
