--- a/review/standins-2/Rig2.java
+++ b/review/standins-2/Rig2.java
@@ -17,6 +17,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Random;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
@@ -36,6 +37,8 @@
     /** False for the control run without the disruption. */
     final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
     final List<Gateway> gateways = new ArrayList<>();
+    /** Draws of the stand-ins; the order of threads makes each run another. */
+    final Random random = new Random(53);
     final List<String> breaches = new ArrayList<>();
     private final PrintWriter record;
 
@@ -99,6 +102,7 @@
             e.printStackTrace();
             status = 2;
         }
+        note("the case is over; its gateways are ended");
         gateways.forEach(Gateway::kill);
         for (Gateway gateway : gateways) {
             if (status == 2) gateway.copyLogTo(folder.resolve("gateway-" + gateway.name + ".log"));
@@ -429,9 +433,17 @@
         final Server server;
         volatile double readMs = 60;
         volatile double tokenMs = 50;
+        /** From the fetch of the state to the first token. */
+        volatile double firstTokenMs;
         volatile int tokens = 10;
+        /** Up to how many more tokens an answer has. */
+        volatile int moreTokens;
         /** Free slots of a writer. */
         int slots = Integer.MAX_VALUE;
+        /** Share of the streams behind which the same answer comes a second time. */
+        volatile double secondShare;
+        /** How long the engine may pause between the two. */
+        volatile double pauseMs;
         volatile boolean stopped;
         final List<Arrival> arrivals = new ArrayList<>();
 
@@ -493,8 +505,10 @@
                 synchronized (cluster) {
                     cluster.states.remove(id);
                 }
+                note("%s: state fetched by %s", id, entry.host);
+                sleep(firstTokenMs);
                 note("%s: stream begins at %s", id, entry.host);
-                stream(call);
+                stream(id, call);
                 note("%s: stream at %s has ended", id, entry.host);
             } finally {
                 synchronized (cluster) {
@@ -525,20 +539,35 @@
             return false;
         }
 
-        private void stream(Call call) throws Exception {
-            call.connection.write("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
-            for (int i = 0; i < tokens; i++) {
-                chunk(call, "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"w" + i + "\"},\"finish_reason\":null}]}\n\n");
+        private void stream(String id, Call call) throws Exception {
+            StringBuilder sent = new StringBuilder();
+            String head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+            send(call, head, sent);
+            int count = tokens + random.nextInt(moreTokens + 1);
+            for (int i = 0; i < count; i++) {
+                send(call, chunk("data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"of " + id + " " + i
+                        + "\"},\"finish_reason\":null}]}\n\n"), sent);
                 sleep(tokenMs);
                 if (call.connection.closed) return;
             }
-            chunk(call, "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\".\"},\"finish_reason\":\"stop\"}]}\n\n");
-            chunk(call, "data: [DONE]\n\n");
-            call.connection.write("0\r\n\r\n");
+            send(call, chunk("data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\".\"},\"finish_reason\":\"stop\"}]}\n\n"),
+                    sent);
+            send(call, chunk("data: [DONE]\n\n") + "0\r\n\r\n", sent);
+            if (random.nextDouble() >= secondShare) return;
+            double delayMs = 1 + 4 * random.nextDouble() + pauseMs * random.nextDouble();
+            sleep(delayMs);
+            if (call.connection.closed) return;
+            note("%s: %s writes its answer a second time, %.0f ms after the first", id, entry.host, delayMs);
+            call.connection.write(sent.toString());
         }
 
-        private void chunk(Call call, String text) throws IOException {
-            call.connection.write(Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
+        private void send(Call call, String text, StringBuilder sent) throws IOException {
+            sent.append(text);
+            call.connection.write(text);
+        }
+
+        private static String chunk(String text) {
+            return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
         }
     }
 
@@ -663,7 +692,7 @@
             socket.setTcpNoDelay(true);
             socket.connect(new InetSocketAddress(LOOPBACK, gateway.port), 2_000);
             socket.getOutputStream().write((head + body).getBytes(StandardCharsets.ISO_8859_1));
-            end = readAnswer(socket, sentMs + deadlineMs);
+            end = readAnswer(socket, id, sentMs + deadlineMs);
         } catch (java.net.SocketTimeoutException e) {
             end = "left";
         } catch (IOException e) {
@@ -673,7 +702,7 @@
         return end;
     }
 
-    private static String readAnswer(Socket socket, double firstByMs) throws IOException {
+    private String readAnswer(Socket socket, String id, double firstByMs) throws IOException {
         InputStream in = socket.getInputStream();
         socket.setSoTimeout((int) Math.max(1, firstByMs - now()));
         ByteArrayOutputStream head = new ByteArrayOutputStream();
@@ -698,10 +727,15 @@
             }
             if (count < 0) return "broken";
             all.write(buffer, 0, count);
-            if (all.toString(StandardCharsets.ISO_8859_1).endsWith("\r\n0\r\n\r\n")) return status;
+            if (!all.toString(StandardCharsets.ISO_8859_1).endsWith("\r\n0\r\n\r\n")) continue;
+            received(id, all.toString(StandardCharsets.ISO_8859_1));
+            return status;
         }
     }
 
+    /** A client has received a whole stream. */
+    void received(String id, String stream) {}
+
     /** The settings of the first deployment, as the wire page shows them. */
     static String booking() {
         return settings("[60000.0,40000.0]", 500, lane("ask", "pure", 2, 1_000, 4_000, 5_000) + ","
--- a/review/standins-2/SmallFleet.java
+++ b/review/standins-2/SmallFleet.java
@@ -66,6 +66,20 @@
         }));
     }
 
+    /** The same, but the gaps between requests are drawn. */
+    void loadAtRandom(Gateway gateway, double perSecond, int promptTokens) {
+        clients.add(spawn("load", () -> {
+            double nextMs = now();
+            for (int number = 0; !loadEnds.get(); number++) {
+                String kind = number % 2 == 0 ? "ask" : "book";
+                String session = Integer.toHexString((gateway.name + number).hashCode());
+                spawn("client", () -> ask(gateway, kind, session, 4_000, promptTokens));
+                nextMs -= Math.log(1 - random.nextDouble()) * 1_000 / perSecond;
+                sleepUntil(nextMs);
+            }
+        }));
+    }
+
     /** Checks the drain rule: no new work at an engine later than the grace after the gateway counted as told. */
     void checkDrain(Engine drained, double toldMs, double untilMs) {
         List<Arrival> arrivals;
