--- a/review/standins-2/AgentBehind.java
+++ b/review/standins-2/AgentBehind.java
@@ -18,7 +18,7 @@
         Agent second = newAgent("second");
         Gateway gateway = gateways.get(0);
         startGateways(booking());
-        load(gateway, 15, 800);
+        load(gateway, 22, 800);
         sleep(3_000);
         Engine drained = cluster.engines.get("s-read1");
         if (arrivalsBetween(drained, 0, now()) == 0) throw new Unusable("the engine got no work before it drains");
