--- a/review/standins-2/SecondAnswers.java
+++ b/review/standins-2/SecondAnswers.java
@@ -5,7 +5,7 @@
 /** Behind some streams the same answer comes a second time, a little late. */
 final class SecondAnswers extends SmallFleet {
     /** In how many streams an answer comes twice. */
-    private static final double SHARE = 0.1;
+    private static final double SHARE = 0.2;
     /** A writer may pause between the two answers for so long: pause_ms of the site file. */
     private static final double PAUSE_MS = 60;
     private static final Pattern OWNER = Pattern.compile("of ([0-9a-f]{16}) ");
