Repeat releases until the writer of a write that was given up has dropped it

Callers got their answers in time; readers lost memory.

Cause: a release frees only what no attempt waits for, and its answer says only that it was received. When a write was called off, timed out, was reset or lost its client, the release went out together with the close of the write's connection. To a nearer reader it comes first, frees nothing and is answered, and no other followed: the time up to which repeats are needed was known for reads that ended without an answer, not for writes.

Fix: LateStates tells until when a release may come too early, for reads and writes. Releases are repeated until the close has reached the writer or, over a connection that fell silent, until the deadline that the writer was given is over; then a release frees the state for certain. Repeats wait, and are not tried again, while an attempt needs what is held.

Related: repeats of a first run also went on while the same request ran again after its client had left, and could free its state (AbortedReadTest.releasesOfAnEarlierRun... failed before); the later run takes them over. A read that got the answer of another request may still run, and counts as unanswered.

--- a/src/main/java/maplerail/core/ActiveRequest.java
+++ b/src/main/java/maplerail/core/ActiveRequest.java
@@ -9,6 +9,7 @@
 import maplerail.Router;
 import maplerail.policy.AnswerLimits;
 import maplerail.policy.AnswerTimes;
+import maplerail.policy.LateStates;
 import maplerail.policy.PriorAttempt;
 import maplerail.policy.ProtocolRules;
 import maplerail.policy.RequestState;
@@ -17,11 +18,6 @@
 
 /** An open request with its attempts, its answer and the states that engines may hold for it. */
 final class ActiveRequest {
-    /** Longest time that a read may take once its reader has started it. */
-    private static final double MAX_READ_MS = 1_600;
-    /** Longest time that an aborted read may wait in its reader's queue; few deadlines are this long. */
-    private static final double MAX_QUEUED_MS = 5_000;
-
     final long number;
     final ServiceRequest request;
     final Caller caller;
@@ -46,10 +42,12 @@
     boolean admitted;
     boolean answered;
     boolean payloadDiscarded;
-    /** When a read was last aborted or reset, by engine. The engine may finish the read and hold its state. */
-    final Map<Long, Double> abortedReadTimesMs = new LinkedHashMap<>();
-    /** Engines to which releases are repeated because an aborted read may leave a state there. */
+    /** Until when a release may come too early for a state, as an attempt ended without an answer. */
+    final LateStates lateStates = new LateStates();
+    /** Engines to which releases are repeated because an earlier one may have come too early. */
     final Set<Long> repeatingReleases = new LinkedHashSet<>();
+    /** Whether the same request runs again, so that releases of this run could reach states of the later one. */
+    boolean superseded;
     /** The attempt whose events are passed to the caller, or null. */
     Attempt winner;
     /** Ends the request shortly after its deadline if the module has not done so. */
@@ -79,23 +77,29 @@
                 .toList();
     }
 
+    /** Takes over the states that an earlier run of the same request may have left. */
+    void supersede(ActiveRequest earlier) {
+        earlier.superseded = true;
+        possibleHolders.addAll(earlier.repeatingReleases);
+        lateStates.addAll(earlier.lateStates);
+    }
+
     /**
      * True while an attempt may depend on what is held: a read is in flight, which a release would make useless, or a
-     * state waits to be fetched, or a stream is under way.
+     * state waits to be fetched, or a stream is under way, or the request runs again.
      */
     boolean needsHeldStates() {
+        if (superseded) return true;
         return !answered && (!readsInFlight().isEmpty() || !leases.isEmpty() || winner != null);
     }
 
-    /**
-     * Returns the latest time at which an aborted read may still finish at an engine, or negative infinity if no read
-     * was aborted there. A read that waits in the engine's queue may start until the deadline that the engine was
-     * given.
-     */
-    double latestAbortedReadEndMs(long engine) {
-        Double abortedAtMs = abortedReadTimesMs.get(engine);
-        if (abortedAtMs == null) return Double.NEGATIVE_INFINITY;
-        return Math.max(abortedAtMs, Math.min(deadlineMs, abortedAtMs + MAX_QUEUED_MS)) + MAX_READ_MS;
+    /** Records that an attempt has ended without an answer of its engine, which may leave a state. */
+    void onAttemptUnanswered(Attempt attempt, double nowMs) {
+        if (attempt.atReader) {
+            lateStates.onReadUnanswered(attempt.engine, nowMs, attempt.deadlineMs);
+        } else if (winner != attempt) {
+            possibleHolders.forEach(reader -> lateStates.onWriteUnanswered(reader, nowMs, attempt.deadlineMs));
+        }
     }
 
     /** True while an attempt is in flight whose answer has started to arrive. */
@@ -132,6 +136,8 @@
         final ProtocolRules.Target target;
         final boolean atReader;
         final double sentMs;
+        /** The deadline that its engine is given. */
+        final double deadlineMs;
         EngineTransport.AttemptHandle handle;
         EventLoop.ScheduledTask timeout;
         /** How its stream goes on; null before the first event. */
@@ -179,13 +185,14 @@
             return new PriorAttempt(target, sentMs, outcome);
         }
 
-        Attempt(ActiveRequest active, long engine, ProtocolRules.Target target, double sentMs) {
+        Attempt(ActiveRequest active, long engine, ProtocolRules.Target target, double sentMs, double deadlineMs) {
             this.active = active;
             this.number = active.attempts.size();
             this.engine = engine;
             this.target = target;
             this.atReader = target.role() == Router.Role.READ;
             this.sentMs = sentMs;
+            this.deadlineMs = deadlineMs;
         }
     }
 }
--- a/src/main/java/maplerail/core/AttemptRunner.java
+++ b/src/main/java/maplerail/core/AttemptRunner.java
@@ -68,10 +68,10 @@
     void startAttempt(Router.Send order) {
         ActiveRequest active = registry.find(order.id());
         if (active == null) return;
-        ActiveRequest.Attempt attempt = new ActiveRequest.Attempt(active, order.engine(),
-                fleet.target(order.engine()), loop.nowMs());
         double deadlineMs = order.deadlineMs() > 0 ? Math.min(order.deadlineMs(), active.deadlineMs)
                 : active.deadlineMs;
+        ActiveRequest.Attempt attempt = new ActiveRequest.Attempt(active, order.engine(),
+                fleet.target(order.engine()), loop.nowMs(), deadlineMs);
         Reason verdict = checkSend(active, order.engine());
         if (verdict == Reason.ALLOWED && deadlineMs <= loop.nowMs()) verdict = Reason.DEADLINE_PASSED;
         boolean releaseFirst = attempt.atReader && unconfirmedStates.mustReleaseBeforeRead(active);
@@ -84,13 +84,13 @@
         repeats.logRepeats(attempt);
         attempt.timeout = loop.schedule(deadlineMs, () -> abort(attempt, Outcome.TIMEOUT));
         attempt.awaitingRelease = releaseFirst;
-        if (releaseFirst) sendAfterRelease(attempt, deadlineMs, order.startByMs());
-        else send(attempt, deadlineMs, order.startByMs());
+        if (releaseFirst) sendAfterRelease(attempt, order.startByMs());
+        else send(attempt, order.startByMs());
         if (order.startByMs() < deadlineMs) loop.schedule(order.startByMs(), () -> withdraw(attempt));
     }
 
-    private void send(ActiveRequest.Attempt attempt, double deadlineMs, double startByMs) {
-        attempt.handle = transport.send(attempt.engine, attempt.active.request, deadlineMs,
+    private void send(ActiveRequest.Attempt attempt, double startByMs) {
+        attempt.handle = transport.send(attempt.engine, attempt.active.request, attempt.deadlineMs,
                 () -> mayStart(attempt, startByMs),
                 new EngineTransport.AnswerListener() {
                     @Override
@@ -126,13 +126,13 @@
     }
 
     /** Sends a read once its reader has answered a release; without an answer, the reader counts as unreachable. */
-    private void sendAfterRelease(ActiveRequest.Attempt attempt, double deadlineMs, double startByMs) {
+    private void sendAfterRelease(ActiveRequest.Attempt attempt, double startByMs) {
         attempt.handle = new AwaitingReleaseHandle();
         unconfirmedStates.releaseBeforeRead(attempt.active, attempt.engine, answered -> {
             if (attempt.ended) return;
             attempt.awaitingRelease = false;
             if (!answered) finish(attempt, Outcome.UNREACHABLE, true, 0);
-            else if (mayStart(attempt, startByMs)) send(attempt, deadlineMs, startByMs);
+            else if (mayStart(attempt, startByMs)) send(attempt, startByMs);
         });
     }
 
@@ -277,8 +277,6 @@
         if (attempt.ended) return;
         Outcome provenOutcome = attempt.handle.unsent() && outcome == Outcome.CANCELLED ? Outcome.NOT_SENT : outcome;
         attempt.handle.abort();
-        if (attempt.atReader && !provenOutcome.hadNoEffect)
-            attempt.active.abortedReadTimesMs.put(attempt.engine, loop.nowMs());
         finish(attempt, provenOutcome, true, 0);
     }
 
@@ -300,9 +298,6 @@
     private void onEnded(ActiveRequest.Attempt attempt, Outcome reported, double cachedTokens) {
         if (attempt.ended) return;
         Outcome outcome = validateOutcome(attempt, reported);
-        // A read whose connection was reset may be finished, as its reader was not told to stop.
-        if (attempt.atReader && outcome == Outcome.RESET)
-            attempt.active.abortedReadTimesMs.put(attempt.engine, loop.nowMs());
         boolean valid = outcome == reported;
         if (valid && StateLease.isEngineAnswer(outcome))
             answerTimes.record(attempt.engine, loop.inputArrivedAfterMs());
@@ -323,6 +318,9 @@
         requestsToSettle.add(attempt.active);
         if (attempt.timeout != null) attempt.timeout.cancel();
         ActiveRequest active = attempt.active;
+        // Its engine may go on with it, as nothing proves that it knows of the end.
+        boolean answered = valid && StateLease.isEngineAnswer(outcome);
+        if (!answered && !outcome.hadNoEffect) active.onAttemptUnanswered(attempt, loop.nowMs());
         if (valid) heldStates.onAttemptEnded(active, outcome);
         if (outcome == Outcome.READ) heldStates.onStateHeld(active, attempt.engine);
         boolean unansweredRead = attempt.atReader && !outcome.hadNoEffect;
--- a/src/main/java/maplerail/core/EngineTransport.java
+++ b/src/main/java/maplerail/core/EngineTransport.java
@@ -16,8 +16,17 @@
     AttemptHandle send(long engine, ServiceRequest request, double deadlineMs, BooleanSupplier mayStart,
             AnswerListener answer);
 
-    /** Releases what an engine holds for a request, retrying until the deadline. Reports the result once. */
-    void release(long engine, String id, double deadlineMs, Consumer<ReleaseResult> onEnded);
+    /**
+     * Releases what an engine holds for a request, retrying until the deadline. Reports the result once.
+     *
+     * @param mayRetry checked before each further try
+     */
+    void release(long engine, String id, double deadlineMs, BooleanSupplier mayRetry, Consumer<ReleaseResult> onEnded);
+
+    /** Releases what an engine holds for a request, retrying until the deadline in any case. */
+    default void release(long engine, String id, double deadlineMs, Consumer<ReleaseResult> onEnded) {
+        release(engine, id, deadlineMs, () -> true, onEnded);
+    }
 
     /** Result of a release: whether the engine answered, the number of tries and the total duration. */
     record ReleaseResult(boolean answered, int tries, double durationMs) {}
--- a/src/main/java/maplerail/core/HeldStates.java
+++ b/src/main/java/maplerail/core/HeldStates.java
@@ -1,6 +1,9 @@
 package maplerail.core;
 
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import maplerail.Router;
 import maplerail.core.RuleMonitor.Breach;
@@ -10,8 +13,8 @@
 /**
  * Tracks and releases the states that engines hold, or may hold, for requests. Each state that a reader reported has a
  * {@link StateLease}. When the lease expires, the state is released whatever the decision module does, unless a
- * writer's answer has started. {@link UnconfirmedStates} tracks the others. Releases are repeated for a while where an
- * aborted read may leave a state.
+ * writer's answer has started. {@link UnconfirmedStates} tracks the others. Releases are repeated for a while where one
+ * may come too early for a state.
  */
 final class HeldStates {
     /** Why a state was released. */
@@ -22,7 +25,7 @@
         WRITE_DOUBTED,
         /** The lease expired without an answer from a writer. */
         LEASE_EXPIRED,
-        /** An aborted read may have finished meanwhile. */
+        /** A called-off read may have finished meanwhile, or a writer may have waited for the state until now. */
         LEFT_BY_CUT_READ
     }
 
@@ -32,7 +35,7 @@
     }
 
     private static final double LEASE_SLACK_MS = 300; // added to the lease term by the protocol rules for sockets
-    /** Delay of the first repeated release, for a state that a reader holds because it finished an aborted read. */
+    /** Delay of the first repeated release: an engine has seen most closes of connections by then. */
     private static final double FIRST_RELEASE_REPEAT_MS = 120;
     /** Interval of repeated releases, in lease terms: the state of a read that ends in between is released in time. */
     private static final double RELEASE_REPEAT_TERMS = 0.7;
@@ -49,6 +52,8 @@
     private final ServiceCounters counters;
     private final LimitedLog log;
     private final UnconfirmedStates unconfirmedStates;
+    /** Requests with repeated releases, by id. */
+    private final Map<String, ActiveRequest> repeating = new HashMap<>();
     private int releasesInFlight;
     private int scheduledRepeats;
 
@@ -70,6 +75,15 @@
         return unconfirmedStates;
     }
 
+    /**
+     * A request is open. If it has run before, the repeated releases of that run end, as they could free what this one
+     * needs; they are sent again when this one no longer needs it.
+     */
+    void onOpened(ActiveRequest active) {
+        ActiveRequest earlier = repeating.remove(active.request.id());
+        if (earlier != null) active.supersede(earlier);
+    }
+
     /**
      * A reader reported that it holds a state. The lease starts at the earliest time at which its answer can have
      * arrived, as the answer may have waited unread.
@@ -101,9 +115,9 @@
         active.reclaimedEngines.clear();
     }
 
-    /** A stream has started, which frees the held states, except those that aborted reads may still leave. */
+    /** A stream has started, which frees the held states, except those for which releases may come too early. */
     void onStreamStarted(ActiveRequest active) {
-        active.possibleHolders.retainAll(active.abortedReadTimesMs.keySet());
+        active.possibleHolders.removeIf(engine -> !active.lateStates.contains(engine));
         active.leases.clear();
         active.unconfirmedStates.clear();
         active.reclaimedEngines.clear();
@@ -139,7 +153,7 @@
     private void releaseState(ActiveRequest active, long engine, Reason reason) {
         StateLease lease = active.leases.remove(engine);
         if (active.hasAttemptInFlight()) active.reclaimedEngines.add(engine);
-        else if (loop.nowMs() > active.latestAbortedReadEndMs(engine)) active.possibleHolders.remove(engine);
+        else if (loop.nowMs() > active.lateStates.latestMs(engine)) active.possibleHolders.remove(engine);
         counters.count(reason);
         if (lease != null) {
             checkHoldTime(active, engine, lease);
@@ -147,7 +161,7 @@
         }
         if (lease != null && reason != Reason.NO_LONGER_NEEDED) logRelease(active, engine, reason, lease);
         if (lease == null) logLateRelease(active, engine);
-        sendRelease(active, engine, loop.nowMs() + RELEASE_RETRY_TERMS * leaseTermMs);
+        sendRelease(active, engine, loop.nowMs() + RELEASE_RETRY_TERMS * leaseTermMs, () -> !active.superseded);
         startRepeats(active, engine);
     }
 
@@ -167,8 +181,8 @@
      * Logs a late first release after an aborted read, whose state may have been held since.
      */
     private void logLateRelease(ActiveRequest active, long engine) {
-        double sinceAbortMs = loop.nowMs() - active.abortedReadTimesMs.getOrDefault(engine, loop.nowMs());
-        if (sinceAbortMs <= leaseTermMs) return;
+        double sinceAbortMs = loop.nowMs() - active.lateStates.unansweredReadMs(engine);
+        if (!(sinceAbortMs > leaseTermMs)) return;
         log.write(() -> "release of " + active.request.id() + " at " + Long.toHexString(engine) + " first sent "
                 + Math.round(sinceAbortMs) + " ms after its read was aborted;" + active.history(loop.nowMs()));
     }
@@ -179,19 +193,19 @@
                 + active.leases.size() + " states reported;" + active.history(loop.nowMs()));
     }
 
-    private void sendRelease(ActiveRequest active, long engine, double deadlineMs) {
+    private void sendRelease(ActiveRequest active, long engine, double deadlineMs, BooleanSupplier mayRetry) {
         releasesInFlight++;
-        newRelease(active, engine, deadlineMs,
+        newRelease(active, engine, deadlineMs, mayRetry,
                 (answering, startedMs) -> unconfirmedStates.onReleaseAnswered(active, answering, startedMs), result -> {
                     releasesInFlight--;
                     onReleaseEnded(active.request.id(), engine, result);
                 }).start();
     }
 
-    private StateRelease newRelease(ActiveRequest active, long engine, double deadlineMs,
+    private StateRelease newRelease(ActiveRequest active, long engine, double deadlineMs, BooleanSupplier mayRetry,
             StateRelease.FirstAnswerListener onAnswered,
             Consumer<EngineTransport.ReleaseResult> onHolderDone) {
-        return new StateRelease(transport, loop, fleet, answerTimes, active, engine, deadlineMs, onAnswered,
+        return new StateRelease(transport, loop, fleet, answerTimes, active, engine, deadlineMs, mayRetry, onAnswered,
                 onHolderDone);
     }
 
@@ -205,39 +219,50 @@
     }
 
     /**
-     * Starts repeating releases to an engine. Guards against a release that overtakes the close of a connection, and
-     * against a reader that continues an aborted read: it then holds the state like any other, even if the request has
-     * continued elsewhere and ends long after the abort.
+     * Starts repeating releases to an engine while one may come too early. Guards against a release that overtakes the
+     * close of a connection, and against a reader that continues a read which was called off: it then holds the state
+     * like any other, even if the request has continued elsewhere and ends long after that.
      */
     private void startRepeats(ActiveRequest active, long engine) {
         if (!active.repeatingReleases.add(engine)) return;
         scheduledRepeats++;
+        repeating.put(active.request.id(), active);
         scheduleRepeat(active, engine, loop.nowMs() + FIRST_RELEASE_REPEAT_MS);
     }
 
     private void scheduleRepeat(ActiveRequest active, long engine, double atMs) {
-        if (atMs > active.latestAbortedReadEndMs(engine) + RELEASE_REPEAT_TERMS * leaseTermMs) {
-            active.repeatingReleases.remove(engine);
-            scheduledRepeats--;
+        if (active.superseded || atMs > active.lateStates.latestMs(engine) + RELEASE_REPEAT_TERMS * leaseTermMs) {
+            endRepeats(active, engine);
             return;
         }
         loop.schedule(atMs, () -> {
-            // A release frees everything that is held for the request, including the state of another reader.
-            if (active.needsHeldStates()) {
-                logWithheld(active, engine);
-            } else {
-                counters.count(Reason.LEFT_BY_CUT_READ);
-                sendRelease(active, engine, loop.nowMs() + leaseTermMs);
-            }
+            repeatRelease(active, engine);
             scheduleRepeat(active, engine, loop.nowMs() + RELEASE_REPEAT_TERMS * leaseTermMs);
         });
     }
 
+    private void endRepeats(ActiveRequest active, long engine) {
+        active.repeatingReleases.remove(engine);
+        scheduledRepeats--;
+        if (active.repeatingReleases.isEmpty()) repeating.remove(active.request.id(), active);
+    }
+
+    private void repeatRelease(ActiveRequest active, long engine) {
+        // A release frees everything that is held for the request, including the state of another reader.
+        if (active.needsHeldStates()) {
+            logWithheld(active, engine);
+            return;
+        }
+        counters.count(Reason.LEFT_BY_CUT_READ);
+        sendRelease(active, engine, loop.nowMs() + leaseTermMs, () -> !active.needsHeldStates());
+    }
+
     /**
      * Releases the states of an answered request while an attempt is in flight. Runs a task at each answered release.
      */
     void releaseWhileInFlight(ActiveRequest active, double deadlineMs, Runnable onAnswered) {
         for (long engine : List.copyOf(active.leases.keySet()))
-            newRelease(active, engine, deadlineMs, (answering, startedMs) -> onAnswered.run(), result -> {}).start();
+            newRelease(active, engine, deadlineMs, () -> true, (answering, startedMs) -> onAnswered.run(), result -> {})
+                    .start();
     }
 }
--- a/src/main/java/maplerail/core/RequestRegistry.java
+++ b/src/main/java/maplerail/core/RequestRegistry.java
@@ -31,6 +31,7 @@
     void open(ActiveRequest active, Runnable closeAction) {
         requests.put(active.number, active);
         closeActions.put(active.number, closeAction);
+        heldStates.onOpened(active);
         unanswered++;
     }
 
--- a/src/main/java/maplerail/core/StateRelease.java
+++ b/src/main/java/maplerail/core/StateRelease.java
@@ -3,6 +3,7 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import maplerail.policy.AnswerTimes;
 
@@ -22,6 +23,7 @@
     private final ActiveRequest active;
     private final long holder;
     private final double deadlineMs;
+    private final BooleanSupplier mayRetry;
     private final double startedMs;
     private final Set<Long> askedEngines = new HashSet<>();
     private final FirstAnswerListener onAnswered;
@@ -37,11 +39,12 @@
      * Creates a release.
      *
      * @param deadlineMs until when its holder is asked
+     * @param mayRetry checked before each further try
      * @param onAnswered called at the first answer, after which no state is held that existed before the release
      * @param onHolderDone called when the holder has answered or is no longer asked
      */
     StateRelease(EngineTransport transport, EventLoop loop, Fleet fleet, AnswerTimes answerTimes, ActiveRequest active,
-            long holder, double deadlineMs, FirstAnswerListener onAnswered,
+            long holder, double deadlineMs, BooleanSupplier mayRetry, FirstAnswerListener onAnswered,
             Consumer<EngineTransport.ReleaseResult> onHolderDone) {
         this.transport = transport;
         this.loop = loop;
@@ -50,6 +53,7 @@
         this.active = active;
         this.holder = holder;
         this.deadlineMs = deadlineMs;
+        this.mayRetry = mayRetry;
         this.onAnswered = onAnswered;
         this.onHolderDone = onHolderDone;
         this.startedMs = loop.nowMs();
@@ -62,7 +66,7 @@
 
     private void ask(long engine, double retryUntilMs, Consumer<EngineTransport.ReleaseResult> onEnded) {
         askedEngines.add(engine);
-        transport.release(engine, active.request.id(), retryUntilMs, result -> {
+        transport.release(engine, active.request.id(), retryUntilMs, mayRetry, result -> {
             if (result.answered()) recordAnswer(engine);
             onEnded.accept(result);
         });
--- a/src/main/java/maplerail/core/UnconfirmedStates.java
+++ b/src/main/java/maplerail/core/UnconfirmedStates.java
@@ -110,7 +110,7 @@
      */
     boolean mustReleaseBeforeRead(ActiveRequest active) {
         boolean mayArise = active.possibleHolders.stream()
-                .anyMatch(engine -> active.latestAbortedReadEndMs(engine) >= loop.nowMs());
+                .anyMatch(engine -> active.lateStates.latestMs(engine) >= loop.nowMs());
         return (mayArise || !active.unconfirmedStates.isEmpty()) && !active.hasAttemptInFlight()
                 && active.leases.isEmpty();
     }
@@ -136,7 +136,7 @@
             // A reader that answers itself runs, and has taken note of the end of its read. One that does not may be
             // stopped in the middle of it.
             boolean mayStillArise = answering != entry.getKey()
-                    && active.latestAbortedReadEndMs(entry.getKey()) >= startedMs;
+                    && active.lateStates.latestReadMs(entry.getKey()) >= startedMs;
             if (mayStillArise) entry.getValue().lease().renew(startedMs);
             return !mayStillArise;
         });
--- a/src/main/java/maplerail/net/EngineClient.java
+++ b/src/main/java/maplerail/net/EngineClient.java
@@ -215,9 +215,10 @@
     }
 
     @Override
-    public void release(long engine, String id, double deadlineMs, Consumer<ReleaseResult> onEnd) {
+    public void release(long engine, String id, double deadlineMs, BooleanSupplier mayRetry,
+            Consumer<ReleaseResult> onEnd) {
         InetSocketAddress address = addresses.get(engine);
-        if (address != null) new ReleaseCall(pool, address, id, deadlineMs, onEnd).start();
+        if (address != null) new ReleaseCall(pool, address, id, deadlineMs, mayRetry, onEnd).start();
         else onEnd.accept(new ReleaseResult(false, 0, 0));
     }
 }
--- a/src/main/java/maplerail/net/ReleaseCall.java
+++ b/src/main/java/maplerail/net/ReleaseCall.java
@@ -7,6 +7,7 @@
 import java.nio.ByteBuffer;
 import java.util.LinkedHashSet;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import maplerail.core.EngineTransport.ReleaseResult;
 import maplerail.core.EventLoop;
@@ -32,6 +33,7 @@
     private final InetSocketAddress address;
     private final String target;
     private final double deadlineMs;
+    private final BooleanSupplier mayRetry;
     private final Consumer<ReleaseResult> onEnd;
     private final double startMs;
     /** Tries in flight, oldest first. */
@@ -42,12 +44,13 @@
     private boolean done;
 
     ReleaseCall(ConnectionPool pool, InetSocketAddress address, String id, double deadlineMs,
-            Consumer<ReleaseResult> onEnd) {
+            BooleanSupplier mayRetry, Consumer<ReleaseResult> onEnd) {
         this.pool = pool;
         this.loop = pool.loop();
         this.address = address;
         this.target = "/internal/reservations/" + id;
         this.deadlineMs = deadlineMs;
+        this.mayRetry = mayRetry;
         this.onEnd = onEnd;
         this.startMs = loop.nowMs();
     }
@@ -59,7 +62,7 @@
 
     private void startTry() {
         if (done) return;
-        if (loop.nowMs() >= deadlineMs && tries > 0) {
+        if (tries > 0 && (loop.nowMs() >= deadlineMs || !mayRetry.getAsBoolean())) {
             finish(false);
             return;
         }
--- a/src/main/java/maplerail/net/ToolClient.java
+++ b/src/main/java/maplerail/net/ToolClient.java
@@ -109,7 +109,8 @@
 
     /** Reports success at once: tool servers hold nothing for a request that has ended. */
     @Override
-    public void release(long engine, String id, double deadlineMs, Consumer<ReleaseResult> onEnd) {
+    public void release(long engine, String id, double deadlineMs, BooleanSupplier mayRetry,
+            Consumer<ReleaseResult> onEnd) {
         onEnd.accept(new ReleaseResult(true, 0, 0));
     }
 }
--- a/src/test/java/maplerail/core/AbortedReadTest.java
+++ b/src/test/java/maplerail/core/AbortedReadTest.java
@@ -84,4 +84,21 @@
         loop.runUntil(1_400);
         assertThat(releases).as("none during the second read").containsExactly("1/a");
     }
+
+    /** A client that left may send its request again: releases of the first run would make the new read useless. */
+    @Test
+    void releasesOfAnEarlierRunDoNotReachTheStatesOfALaterOne() {
+        submit("a", send(READER)).cancel();
+        submit("a", new Router.Send(2, READER, 0));
+        assertThat(sentAttempts).hasSize(2);
+        int sent = releases.size();
+        loop.runUntil(3_000);
+        assertThat(releases).as("while the later run reads").hasSize(sent);
+        nextActions.add(new Router.Fail(2));
+        sentAttempts.get(1).listener.ended(Outcome.ERROR, 0);
+        loop.runUntil(60_000);
+        double latestReadEndMs = 1_000 + 5_000 + 1_600;
+        assertThat(releaseTimesMs).as("what the earlier run may have left").anyMatch(atMs -> atMs > latestReadEndMs);
+        assertThat(broker.pendingReleases()).isZero();
+    }
 }
--- a/src/test/java/maplerail/core/BrokerFixture.java
+++ b/src/test/java/maplerail/core/BrokerFixture.java
@@ -94,7 +94,8 @@
             }
 
             @Override
-            public void release(long engine, String id, double deadlineMs, Consumer<ReleaseResult> onEnded) {
+            public void release(long engine, String id, double deadlineMs, BooleanSupplier mayRetry,
+                    Consumer<ReleaseResult> onEnded) {
                 if (engine == READER) releaseTimesMs.add(loop.now);
                 if (engine == OTHER_READER) otherReleaseTimesMs.add(loop.now);
                 if (!answersReleases) return;
--- a/src/test/java/maplerail/core/ScriptedBroker.java
+++ b/src/test/java/maplerail/core/ScriptedBroker.java
@@ -37,6 +37,8 @@
     boolean enginesReachable = true;
     /** How long the last release is retried. */
     double releaseRetryMs;
+    /** Whether the last release may be tried again. */
+    BooleanSupplier mayRetryRelease;
     /** What the caller received. */
     final List<String> callerEvents = new ArrayList<>();
     /** Whether the caller accepts further events. */
@@ -105,13 +107,15 @@
             }
 
             @Override
-            public void release(long engine, String id, double deadlineMs, Consumer<ReleaseResult> onEnded) {
+            public void release(long engine, String id, double deadlineMs, BooleanSupplier mayRetry,
+                    Consumer<ReleaseResult> onEnded) {
                 releases.add(engine + "/" + id);
                 releaseTimesMs.add(loop.now);
                 Runnable reportResult = () -> onEnded.accept(new ReleaseResult(true, 1, 0));
                 if (enginesReachable) reportResult.run();
                 else unansweredReleases.add(reportResult);
                 releaseRetryMs = deadlineMs - loop.now;
+                mayRetryRelease = mayRetry;
             }
         };
         broker = new Broker(router, settings, new Quotas(Budgets.withoutQuotas(3), loop, line -> {}), loop, transport,
