Send nothing by a remembered list before the agent has answered

Cause: where lists are pushed, what the agent has counts as told from the first moment of a new process. The wait for the agent's answer ended after 0.5 s, whatever had come, and the list of the earlier run was used from then on. The half second was chosen for a client ahead of the answer; its end let the old list through when there was no answer.

Fix: StartRules. Nothing is sent before the agent's first list; requests wait for it to their goal and are then refused with nothing run. The process is ready with that list, or 8 s after its start, as most restarts have to be ready within 10 s. The agent is asked again every second beside the first call, which stays open for an agent that is slow. Where lists are asked for, the remembered list is used at once as before. The build's rehearsal has an agent now.

Test changed: PlatformWatchTest.invalidListIsIgnoredAndRequestedAgain had a gateway serve by a list that no agent had confirmed, which the rule forbids. It now gets one valid answer first, then the same four invalid ones, and must still serve by the good list and ask for the whole one each time; the start with invalid lists alone is in StartInOutageTest.

--- a/src/main/java/maplerail/cli/Gateway.java
+++ b/src/main/java/maplerail/cli/Gateway.java
@@ -31,6 +31,7 @@
 import maplerail.net.ConnectionPool;
 import maplerail.net.XnioLoop;
 import maplerail.policy.MemoryLimits;
+import maplerail.policy.StartRules;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.xnio.ChannelListeners;
@@ -48,7 +49,6 @@
     private static final double DRAIN_POLL_MS = 20;
     /** How long the exit waits for releases: as long as a state may be held, plus the slack of the rules on sockets. */
     private static final double RELEASE_GRACE_MS = 800;
-    private static final double CONFIRM_TIMEOUT_MS = 500; // for the local discovery agent to report changes
     private static final int BUFFER_BYTES = 8 * 1024;
     private static final int MAX_HEAD_BYTES = 16 * 1024; // of a request
     /** Percentage of the heap for what is held for clients; the rest is for everything else and for the collector. */
@@ -74,7 +74,7 @@
     private final ToolServices tools;
     private final RpcFront rpcFront;
     private final InetSocketAddress rpcListen;
-    /** The list from an earlier run, until the agent has reported what changed since; null otherwise. */
+    /** The list from an earlier run, until it may be used; null otherwise. */
     private EngineList unconfirmed;
     private AcceptingChannel<?> httpServer;
     private AcceptingChannel<?> rpcServer;
@@ -141,13 +141,15 @@
     }
 
     /**
-     * Starts to listen and serve. The gateway is ready as soon as it has a list of engines; one from an earlier run
-     * that may be outdated has to be confirmed first, unless the agent does not answer within a time limit.
+     * Starts to listen and serve. The gateway is ready as soon as it has a list of engines by which it may route; one
+     * from an earlier run may have to be confirmed first. If discovery does not answer for long, it is ready without a
+     * list, and requests wait for one.
      */
     public void start() throws IOException {
         loop.execute(() -> {
             startFrom(config.knownEngines());
             watch.poll();
+            loop.schedule(loop.nowMs() + StartRules.MAX_UNREADY_MS, this::becomeReadyWithoutList);
             if (tools != null) tools.start();
         });
         httpServer = listen(config.listen(), httpFront, HTTP_CLIENT_PERCENT, httpFront::setListener);
@@ -167,26 +169,18 @@
         LOG.info("rules: {}; limits: {}", settings.rules(), settings.limits());
     }
 
-    /**
-     * Starts from the engines of an earlier run. Where lists are pushed, the gateway is expected to know the agent's
-     * list from the start, so the agent's answer, which costs nothing, is awaited before clients are served, but only
-     * for a limited time in case the agent is silent.
-     */
+    /** Starts from the engines of an earlier run, if there are any. */
     private void startFrom(EngineList known) {
-        if (known == null) return;
         unconfirmed = known;
         boolean pushed = !config.settings().mustSubscribe();
-        if (!known.members().isEmpty()) watch.resumeFrom(known.version(), pushed);
-        if (pushed && !known.members().isEmpty())
-            loop.schedule(loop.nowMs() + CONFIRM_TIMEOUT_MS, this::useRememberedList);
-        else
-            useRememberedList();
+        boolean hasEngines = known != null && !known.members().isEmpty();
+        watch.resumeFrom(hasEngines ? known.version() : PlatformWatch.NO_VERSION, pushed);
+        if (StartRules.mayUseRememberedList(pushed)) useRememberedList();
     }
 
     /**
-     * Routes by the remembered list from now on. This is not done before the agent has answered or the wait for it has
-     * timed out: until then clients of a restarted gateway wait, as they would otherwise be sent to engines that have
-     * started to drain in the meantime.
+     * Routes by the remembered list from now on. Until the agent has confirmed it, requests of clients wait, as they would
+     * otherwise be sent to engines that have started to drain in the meantime.
      */
     private void useRememberedList() {
         if (unconfirmed == null) return;
@@ -233,6 +227,12 @@
         becomeReady();
     }
 
+    private void becomeReadyWithoutList() {
+        if (lifecycle.phase() != Phase.STARTING) return;
+        LOG.warn("ready without a list of engines, as discovery has not answered; requests wait for it");
+        becomeReady();
+    }
+
     private void becomeReady() {
         if (lifecycle.phase() == Phase.STARTING) lifecycle.moveTo(Phase.READY);
     }
--- a/src/main/java/maplerail/cli/Rehearsal.java
+++ b/src/main/java/maplerail/cli/Rehearsal.java
@@ -25,13 +25,14 @@
 
     static void run() throws IOException, InterruptedException {
         try (ServerSocket engine = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+                ServerSocket agent = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
                 InputStream text = Rehearsal.class.getResourceAsStream("/rehearsal.json")) {
             String config = new String(text.readAllBytes(), StandardCharsets.UTF_8);
-            Gateway gateway = new Gateway(NodeConfig.read(config.replace("127.0.0.1:9\"", "127.0.0.1:"
-                    + engine.getLocalPort() + "\""), Map.of()), null);
-            Thread engineThread = new Thread(() -> serve(engine), "engine");
-            engineThread.setDaemon(true);
-            engineThread.start();
+            config = config.replace("127.0.0.1:9\"", "127.0.0.1:" + engine.getLocalPort() + "\"")
+                    .replace("127.0.0.1:1\"", "127.0.0.1:" + agent.getLocalPort() + "\"");
+            Gateway gateway = new Gateway(NodeConfig.read(config, Map.of()), null);
+            startThread("engine", () -> serve(engine));
+            startThread("agent", () -> confirmList(agent));
             gateway.start();
             while (gateway.phase() != Phase.READY) Thread.onSpinWait();
             String headerStart = " HTTP/1.1\r\nHost: x\r\nConnection: close\r\nContent-Length: ";
@@ -54,19 +55,44 @@
         }
     }
 
+    private static void startThread(String name, Runnable task) {
+        Thread thread = new Thread(task, name);
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    /** Answers discovery's first call, which confirms the known list; the next one waits for a change. */
+    private static void confirmList(ServerSocket agent) {
+        String list = "{\"seq\":1,\"whole\":false,\"hosts\":[]}";
+        try (Socket socket = agent.accept()) {
+            readHead(socket);
+            reply(socket, "200 X\r\nContent-Length: " + list.length() + "\r\n\r\n" + list);
+        } catch (IOException e) {
+            return; // the rehearsal is over
+        }
+    }
+
+    private static void readHead(Socket socket) throws IOException {
+        BufferedReader in = new BufferedReader(new InputStreamReader(socket.getInputStream(),
+                StandardCharsets.US_ASCII));
+        for (String line = in.readLine(); line != null && !line.isEmpty();) line = in.readLine();
+    }
+
+    private static void reply(Socket socket, String answer) throws IOException {
+        socket.getOutputStream().write(("HTTP/1.1 " + answer).getBytes(StandardCharsets.US_ASCII));
+    }
+
     /** Answers the one request of each connection, in turn with an error, as a writer and twice as a reader. */
     private static void serve(ServerSocket engine) {
         for (int count = 0;; count++) {
             try (Socket socket = engine.accept()) {
-                BufferedReader in = new BufferedReader(new InputStreamReader(socket.getInputStream(),
-                        StandardCharsets.US_ASCII));
-                for (String line = in.readLine(); line != null && !line.isEmpty();) line = in.readLine();
+                readHead(socket);
                 String answer = switch (count % 4) {
                     case 0 -> "500 X\r\nContent-Length: 0\r\n\r\n";
                     case 1 -> "200 X\r\nTransfer-Encoding: chunked\r\n\r\n9\r\ndata: 1\n\n\r\n0\r\n\r\n";
                     default -> "202 X\r\nContent-Length: 19\r\n\r\n{\"cached_tokens\":0}";
                 };
-                socket.getOutputStream().write(("HTTP/1.1 " + answer).getBytes(StandardCharsets.US_ASCII));
+                reply(socket, answer);
             } catch (IOException e) {
                 return; // the rehearsal is over
             }
--- a/src/main/java/maplerail/discovery/PlatformWatch.java
+++ b/src/main/java/maplerail/discovery/PlatformWatch.java
@@ -22,6 +22,8 @@
  * 200 ms.
  */
 public final class PlatformWatch {
+    /** The version of a list that is not known. */
+    public static final long NO_VERSION = -1;
     private static final Logger LOG = LoggerFactory.getLogger(PlatformWatch.class);
     /**
      * Longest time that a call waits for a change at the agent. Together with the grace time and the response to the
@@ -33,6 +35,11 @@
      * the latest.
      */
     private static final double WAIT_GRACE_MS = 2_250;
+    /**
+     * Time from a call to the next one while the first list is awaited. An agent that was silent may answer only calls that
+     * it gets after that; one that is slow answers the first of them, which stays open.
+     */
+    private static final double FIRST_LIST_RETRY_MS = 1_000;
     /** Time without a further byte after which the call of a response that started late is considered lost as well. */
     private static final double MAX_SILENCE_MS = 500;
     /**
@@ -52,11 +59,11 @@
     private final Consumer<EngineList> onList;
     private final BackOff backOff;
     private String problem = "";
-    private long version = -1;
+    private long version = NO_VERSION;
     /** The newest version received from any agent. */
-    private long newestVersion = -1;
-    /** True while a list from an earlier run has to be confirmed, so that the call must not wait for a change. */
-    private boolean unconfirmed;
+    private long newestVersion = NO_VERSION;
+    /** True while the agent's first answer is awaited, so that the call must not wait for a change. */
+    private boolean awaitsFirstList;
     private double rejectOlderUntilMs = Double.NEGATIVE_INFINITY;
     /** The call whose end is followed by the next one. */
     private WatchCall current;
@@ -81,13 +88,16 @@
     }
 
     /**
-     * Continues from a known list, so that discovery need not send it again; must be called before the first poll. If
-     * the list has to be confirmed, the first call requests an immediate response; otherwise it waits for a change.
+     * Continues from a known list, so that discovery need not send it again; must be called before the first poll.
+     *
+     * @param knownVersion the version of that list, or {@link #NO_VERSION}
+     * @param mustConfirm whether nothing is served before discovery has answered, so that the first call requests an
+     *            immediate response and is repeated soon; otherwise it waits for a change
      */
     public void resumeFrom(long knownVersion, boolean mustConfirm) {
         version = knownVersion;
         newestVersion = knownVersion;
-        unconfirmed = mustConfirm;
+        awaitsFirstList = mustConfirm;
     }
 
     /** Requests the whole list unless one is known, then changes, without end. */
@@ -98,14 +108,14 @@
     }
 
     private long waitMs() {
-        return version < 0 || unconfirmed ? 0 : MAX_WAIT_MS;
+        return version < 0 || awaitsFirstList ? 0 : MAX_WAIT_MS;
     }
 
     /** Switches to another agent. A call that is still in flight to the old one is processed when it ends. */
     public void switchAgent(InetSocketAddress newAgent) {
         if (newAgent.equals(agent)) return;
         agent = newAgent;
-        version = -1;
+        version = NO_VERSION;
         backOff.reset();
         rejectOlderUntilMs = loop.nowMs() + REJECT_OLDER_MS;
         poll();
@@ -127,10 +137,16 @@
             call = pool.start(agent, request, new byte[0], this);
             // Guards against an agent that was cut off, whose connection would stay open and silent.
             loop.schedule(loop.nowMs() + waitMs() + WAIT_GRACE_MS, this::checkProgress);
+            if (awaitsFirstList) loop.schedule(loop.nowMs() + FIRST_LIST_RETRY_MS, this::retryFirstList);
+        }
+
+        private void retryFirstList() {
+            if (this == current && awaitsFirstList && isSilent()) continueBeside();
         }
 
         private void checkProgress() {
-            if (!abortIfStalled(call)) return;
+            boolean mayBeSilent = awaitsFirstList && isSilent();
+            if (!mayBeSilent && !abortIfStalled(call)) return;
             double nowMs = loop.nowMs();
             if (nowMs >= sentMs + MAX_LATE_ARRIVAL_MS) {
                 abort(call);
@@ -143,7 +159,7 @@
 
         /**
          * Starts the next call while the response to this one is still arriving: it may be large, or never end. If an
-         * earlier response is still arriving, too, this call is aborted instead, as that one has come further.
+         * earlier call is still open, too, this call is aborted instead, as that one has come further.
          *
          * @return true if this call continues
          */
@@ -159,11 +175,11 @@
 
         /** Handles a list that has arrived after later calls were made; one that tells nothing new is ignored. */
         private void onLateList(EngineList list) {
-            if (list.version() <= newestVersion) return;
+            if (list.version() <= newestVersion && !awaitsFirstList) return;
             WatchCall replaced = current;
             newestVersion = list.version();
             version = newestVersion;
-            unconfirmed = false;
+            awaitsFirstList = false;
             poll();
             replaced.abort(replaced.call);
             onList.accept(list);
@@ -183,7 +199,7 @@
                 list = EngineList.read(JsonValue.parseObject("list", text), names);
             } catch (ConfigException e) {
                 logProblem(e.getMessage());
-                if (this == current) version = -1;
+                if (this == current) version = NO_VERSION;
                 return false;
             }
             logProblem("");
@@ -197,7 +213,7 @@
             if (this == current) {
                 if (older) return false;
                 version = list.version();
-                unconfirmed = false;
+                awaitsFirstList = false;
                 backOff.reset();
                 if (late != null) late.abort(late.call);
                 poll();
--- a/src/main/java/maplerail/net/TextResponseHandler.java
+++ b/src/main/java/maplerail/net/TextResponseHandler.java
@@ -46,6 +46,11 @@
         return false;
     }
 
+    /** Returns true while nothing of the response's text has arrived. */
+    public final boolean isSilent() {
+        return !ended && contentBytes == 0;
+    }
+
     /** Returns true once the call has ended. */
     public final boolean ended() {
         return ended;
--- a/src/test/java/maplerail/discovery/PlatformWatchTest.java
+++ b/src/test/java/maplerail/discovery/PlatformWatchTest.java
@@ -52,10 +52,11 @@
                 StandIn writer = GatewayFixture.writer();
                 StandIn agent = new StandIn(x -> {
                     switch (requestCount.incrementAndGet()) {
-                        case 1 -> x.reply(200, "{\"seq\":7,\"whole\":true,\"hosts\":");
-                        case 2 -> x.reply(200, "{\"seq\":-7,\"whole\":true,\"hosts\":[]}");
-                        case 3 -> x.reply(200, "[]");
-                        case 4 -> x.reply(200, "{\"whole\":true,\"hosts\":[]}");
+                        case 1 -> x.reply(200, "{\"seq\":7,\"whole\":false,\"hosts\":[]}");
+                        case 2 -> x.reply(200, "{\"seq\":8,\"whole\":true,\"hosts\":");
+                        case 3 -> x.reply(200, "{\"seq\":-8,\"whole\":true,\"hosts\":[]}");
+                        case 4 -> x.reply(200, "[]");
+                        case 5 -> x.reply(200, "{\"whole\":true,\"hosts\":[]}");
                         default -> x.awaitClose();
                     }
                 });
@@ -63,8 +64,8 @@
                         .engine("w", "decode", writer)
                         .withDiscovery(agent)) {
             fixture.start();
-            await("called again", () -> requestCount.get() >= 5);
-            assertThat(agent.seen.subList(1, 5)).as("requests for the whole list").containsOnly("GET /api/targets");
+            await("called again", () -> requestCount.get() >= 6);
+            assertThat(agent.seen.subList(2, 6)).as("requests for the whole list").containsOnly("GET /api/targets");
             assertThat(fixture.exchange(request("a1", "lookup", "5.0"))).startsWith("HTTP/1.1 200");
         }
     }
