--- a/src/test/java/maplerail/cli/StartInOutageTest.java
+++ b/src/test/java/maplerail/cli/StartInOutageTest.java
@@ -75,6 +75,7 @@
             case BREAKS_CONNECTIONS -> exchange.reset();
             case ANSWERS_503 -> exchange.reply(503, "");
             case ANSWERS_NO_LIST -> exchange.reply(200, "[]");
+            default -> throw new IllegalArgumentException(outage.name());
         }
         return outage == Outage.HOLDS_CALLS;
     }
