Soak: writers that are full, where a release frees nothing that a write waits for

The soak's engines gave up a state at any release, so that no run could show a state that stays behind a write which was called off while it waited.

--- a/src/test/java/maplerail/soak/EngineStandIn.java
+++ b/src/test/java/maplerail/soak/EngineStandIn.java
@@ -15,10 +15,10 @@
      * How the engine treats requests. The process of a STOPPED engine does not run, while its operating system still
      * accepts connections and bytes for it. The connections of a reader that LOSES_READS fall silent in the middle of
      * their reads, and the reads go on. The streams of a writer that SPOILS become spoilt behind some sound events, and
-     * bytes keep coming.
+     * bytes keep coming. Writes wait at a FULL writer for room, until their connection is closed or their deadline is over.
      */
     enum Behaviour {
-        HEALTHY, HANGS, FAILS, RESETS, SLOW, DECLINES, STOPPED, LOSES_READS, SPOILS
+        HEALTHY, HANGS, FAILS, RESETS, SLOW, DECLINES, STOPPED, LOSES_READS, SPOILS, FULL
     }
 
     /** What follows the sound events of a spoilt stream: a text, and another one again and again. */
@@ -147,7 +147,10 @@
             default -> {
                 int slowdown = behaviour == Behaviour.SLOW ? SLOW_FACTOR : 1;
                 if (reader) serveRead(exchange, attempt, ownIncarnation, slowdown);
-                else serveWrite(exchange, attempt, ownIncarnation, slowdown);
+                else
+                    if (behaviour != Behaviour.FULL
+                            || awaitRoom(exchange, attempt, ownIncarnation, forwardedDeadlineMs))
+                        serveWrite(exchange, attempt, ownIncarnation, slowdown);
             }
         }
     }
@@ -177,6 +180,19 @@
         exchange.reply(202, "{\"cached_tokens\":0}");
     }
 
+    /** Waits for room while the state of a write stays at its reader; false if the write is dropped before there is any. */
+    private boolean awaitRoom(Exchange exchange, Ledger.Attempt attempt, int ownIncarnation, double deadlineMs)
+            throws IOException {
+        double untilMs = Ledger.nowMs() + deadlineMs;
+        boolean dropped = false;
+        ledger.writeWaits(attempt.request);
+        while (behaviour == Behaviour.FULL && !dropped)
+            dropped = exchange.isClosedByPeer() || Ledger.nowMs() >= untilMs || ownIncarnation != incarnation;
+        ledger.writeWaitEnded(attempt.request);
+        if (dropped) ledger.attemptEnded(attempt, "dropped while it waits", true);
+        return !dropped;
+    }
+
     private void serveWrite(Exchange exchange, Ledger.Attempt attempt, int ownIncarnation, int slowdown)
             throws Exception {
         if (!ledger.stateTaken(attempt.request, host)) {
--- a/src/test/java/maplerail/soak/FaultSoakIT.java
+++ b/src/test/java/maplerail/soak/FaultSoakIT.java
@@ -43,6 +43,13 @@
         assertThat(FaultSoak.runSeed(6002, SECONDS, GATEWAYS, troubles, FOLDER)).isZero();
     }
 
+    /** Guards against states that stay behind writes which were given up while they waited at full writers. */
+    @Test
+    void noRuleIsBrokenWhileWritersAreFull() throws Exception {
+        List<Trouble> troubles = List.of(Trouble.WRITERS_FULL, Trouble.ROLLING_RESTART);
+        assertThat(FaultSoak.runSeed(6005, SECONDS, GATEWAYS, troubles, FOLDER)).isZero();
+    }
+
     /** Guards against clients that are left waiting on spoilt streams. */
     @Test
     void noRuleIsBrokenWhileStreamsAreSpoilt() throws Exception {
--- a/src/test/java/maplerail/soak/Ledger.java
+++ b/src/test/java/maplerail/soak/Ledger.java
@@ -89,6 +89,8 @@
         final List<String> timeline = new ArrayList<>();
         /** The engines that hold a state for the request, and since when. */
         final Map<String, Double> held = new HashMap<>();
+        /** Number of writes that wait for the state, which no release frees meanwhile. */
+        int waitingWrites;
         /** When the last byte was written on the current connection; NaN before that. */
         double fullySentMs = Double.NaN;
         double clientLeftMs = Double.NaN;
@@ -395,10 +397,25 @@
     synchronized void stateReleased(String id) {
         Request request = requests.get(id);
         if (request == null) return;
+        if (request.waitingWrites > 0) {
+            request.note("release while a write waits for the state");
+            return;
+        }
         if (!request.held.isEmpty()) request.note("state released");
         request.held.clear();
     }
 
+    /** Records that a write waits at its writer for room. */
+    synchronized void writeWaits(Request request) {
+        request.waitingWrites++;
+    }
+
+    /** Records that a write no longer waits; if it was dropped, the state is held with no attempt in flight from now on. */
+    synchronized void writeWaitEnded(Request request) {
+        request.waitingWrites--;
+        request.held.replaceAll((engine, sinceMs) -> nowMs());
+    }
+
     /** Records that an engine has died, and all states that it held with it. */
     synchronized void engineDied(String engine) {
         for (Request request : requests.values()) {
@@ -415,6 +432,7 @@
         checkOverlaps(now);
         for (Request request : requests.values()) {
             if (request.held.isEmpty() || request.gatewayKilled || request.heldReported) continue;
+            if (request.waitingWrites > 0) continue;
             if (request.attempts.stream().anyMatch(Attempt::inFlight)) continue;
             double lastEndMs = request.attempts.stream().mapToDouble(a -> a.endedMs).max().orElse(now);
             request.held.forEach((engine, sinceMs) -> {
--- a/src/test/java/maplerail/soak/Trouble.java
+++ b/src/test/java/maplerail/soak/Trouble.java
@@ -259,6 +259,14 @@
             fleet.withRole(false, random, engine -> engine.setBehaviour(Behaviour.SPOILS),
                     engine -> engine.setBehaviour(Behaviour.HEALTHY), 800 + random.nextInt(2_400));
         }
+    },
+    /** Writers are full: writes wait there, while their states wait at the readers. */
+    WRITERS_FULL {
+        @Override
+        void inject(SoakFleet fleet, SplittableRandom random) throws Exception {
+            fleet.withRole(false, random, engine -> engine.setBehaviour(Behaviour.FULL),
+                    engine -> engine.setBehaviour(Behaviour.HEALTHY), 800 + random.nextInt(2_400));
+        }
     };
 
     /** The troubles that a run draws from by default; a seed keeps its draws only as long as they are the same. */
