Keep a connection open at shutdown while requests read from it have no answer

Cause: PlatformFront put "Connection: close" on the next answer as soon as the gateway shut down, when the request was begun and whatever had been read behind it; the server closes the connection after that answer.

Evidence: DrainTest.requestsThatWereSentAtOnceBeforeTheDrainAreAllAnswered failed on for 4 and 8 requests and passed for 2, where the second answer is the last one.

Fix: the close is announced with the head of an answer, and only if nothing has been read behind its request.

--- a/src/main/java/maplerail/front/platform/HttpAnswer.java
+++ b/src/main/java/maplerail/front/platform/HttpAnswer.java
@@ -9,6 +9,7 @@
 import java.util.ArrayDeque;
 import java.util.List;
 import java.util.Locale;
+import java.util.function.BooleanSupplier;
 import maplerail.core.Caller;
 import maplerail.core.ClientMemory;
 import maplerail.core.ClientMemory.Kind;
@@ -34,6 +35,7 @@
     private final ClientInput input;
     private final ServiceCounters counters;
     private final ClientMemory memory;
+    private final BooleanSupplier shuttingDown;
     private final ArrayDeque<ByteBuffer> pendingChunks = new ArrayDeque<>();
     private int pendingBytes;
     private RequestHandle handle;
@@ -47,13 +49,15 @@
      *
      * @param pipelined what its client has sent after the request
      * @param pacer spaces the reads of what is not kept
+     * @param shuttingDown whether connections are to be closed as soon as their requests are answered
      */
     HttpAnswer(HttpServerExchange exchange, PipelinedRequests pipelined, DroppedReadPacer pacer, EventLoop loop,
-            ServiceCounters counters, ClientMemory memory) {
+            ServiceCounters counters, ClientMemory memory, BooleanSupplier shuttingDown) {
         this.exchange = exchange;
         this.pipelined = pipelined;
         this.counters = counters;
         this.memory = memory;
+        this.shuttingDown = shuttingDown;
         this.input = new ClientInput((HttpServerConnection) exchange.getConnection(), pipelined, pacer, loop,
                 this::onClientLeft);
     }
@@ -107,6 +111,7 @@
         if (finished) return true;
         if (sink == null) {
             exchange.setStatusCode(200);
+            closeAfterLastAnswer();
             exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "text/event-stream");
             exchange.getResponseHeaders().put(Headers.CACHE_CONTROL, "no-cache");
             // Explicit, as only this gives a stream a last chunk where the connection closes after the answer.
@@ -119,6 +124,12 @@
         return !paused;
     }
 
+    /** Closes the connection of a program that ends after this answer, unless further requests were read from it. */
+    private void closeAfterLastAnswer() {
+        if (shuttingDown.getAsBoolean() && pipelined.isEmpty())
+            exchange.getResponseHeaders().put(Headers.CONNECTION, "close");
+    }
+
     private void openSink() {
         sink = exchange.getResponseChannel();
         sink.getWriteSetter().set(channel -> writePending());
@@ -233,6 +244,7 @@
     void respond(int status, String message) {
         if (finished) return;
         exchange.setStatusCode(status);
+        closeAfterLastAnswer();
         exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
         String body = "{\"error\":{\"message\":\"" + message + "\"}}\n";
         if (exchange.isRequestComplete()) {
--- a/src/main/java/maplerail/front/platform/PipelinedRequests.java
+++ b/src/main/java/maplerail/front/platform/PipelinedRequests.java
@@ -107,6 +107,12 @@
         countedBytes = 0;
     }
 
+    /** Returns true if nothing has been read behind the current request. */
+    boolean isEmpty() {
+        long current = placeholderInFlight ? 1 : 0;
+        return connection.getExtraBytes() == null && droppedRequests() <= current;
+    }
+
     /** Returns true while what is read is not kept. */
     boolean isDropping() {
         return framing != null;
--- a/src/main/java/maplerail/front/platform/PlatformFront.java
+++ b/src/main/java/maplerail/front/platform/PlatformFront.java
@@ -100,8 +100,8 @@
 
     private void handle(HttpServerExchange exchange, PipelinedRequests pipelined) {
         listener.onDequeued(exchange);
-        if (lifecycle.phase().isShuttingDown()) exchange.getResponseHeaders().put(Headers.CONNECTION, "close");
-        HttpAnswer answer = new HttpAnswer(exchange, pipelined, pacer, loop, broker.counters(), memory);
+        HttpAnswer answer = new HttpAnswer(exchange, pipelined, pacer, loop, broker.counters(), memory,
+                () -> lifecycle.phase().isShuttingDown());
         exchange.dispatch(SameThreadExecutor.INSTANCE, () -> {
             if (pipelined.isPlaceholder()) refuseNotKept(exchange, pipelined, answer);
             else new IncomingRequest(exchange, answer).start();
--- a/src/test/java/maplerail/cli/DrainTest.java
+++ b/src/test/java/maplerail/cli/DrainTest.java
@@ -14,6 +14,8 @@
 import maplerail.support.StoppableEngine;
 import maplerail.support.GatewayFixture;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class DrainTest {
     private static void send(Socket socket, String request) throws Exception {
@@ -75,6 +77,46 @@
         }
     }
 
+    /** Guards against requests that were read behind others and get no answer, as the next answer closes their connection. */
+    @ParameterizedTest
+    @ValueSource(ints = {2, 4, 8})
+    void requestsThatWereSentAtOnceBeforeTheDrainAreAllAnswered(int count) throws Exception {
+        BlockingQueue<StandIn.Exchange> streams = GatewayFixture.queue();
+        try (StandIn reader = GatewayFixture.reader(); StandIn writer = new StandIn(x -> {
+            x.startStream();
+            x.chunk("data: 1\n\n");
+            streams.add(x);
+        });
+                GatewayFixture fixture = new GatewayFixture().engine("r", "prefill", reader)
+                        .engine("w", "decode", writer)
+                        .start();
+                Socket client = fixture.connect()) {
+            StringBuilder requests = new StringBuilder();
+            for (int i = 1; i <= count; i++) requests.append(request("a" + i, "lookup", "5.0"));
+            send(client, requests.toString());
+            StandIn.Exchange first = take(streams);
+            fixture.gateway.drain();
+            await("draining", () -> fixture.gateway.phase() == Phase.DRAINING);
+            end(first);
+            StandIn.Exchange second = take(streams);
+            await("no more requests are accepted", () -> !fixture.gateway.phase().acceptsRequests());
+            end(second);
+            String answers = GatewayFixture.readAll(client.getInputStream());
+            assertThat(answers.split("HTTP/1\\.1 200 ", -1)).as("served").hasSize(2 + 1);
+            assertThat(answers.split("HTTP/1\\.1 503 ", -1)).as("refused, as they were not begun")
+                    .hasSize(count - 2 + 1);
+            assertThat(answers).doesNotContain("<reset>");
+            assertThat(answers.split("Connection: close", -1)).as("closed behind the last one").hasSize(2);
+            fixture.gateway.join();
+            assertThat(fixture.gateway.phase()).isEqualTo(Phase.STOPPED);
+        }
+    }
+
+    private static void end(StandIn.Exchange stream) throws Exception {
+        stream.chunk("data: [DONE]\n\n");
+        stream.endStream();
+    }
+
     /** Guards against a close with unread bytes, which resets the connection and cuts the answer off. */
     @Test
     void anAnswerIsCompleteThoughItsClientHasSentMore() throws Exception {
