Use a connection again only once a late second stream would have come

Cause: an answer over HTTP/1.1 does not name its request. A connection was used again 30 ms after its last answer, and a second answer that came later was taken for that to the next request.

Surplus bytes on idle connections are noticed at any time, and those read along with an answer too.

Fix: after a stream its connection must be quiet for 250 ms, which allows for a lost packet that is sent again. After other answers it is 30 ms as before: lists are polled and states released one right after the other.

--- a/src/main/java/maplerail/net/Call.java
+++ b/src/main/java/maplerail/net/Call.java
@@ -213,7 +213,7 @@
         cancelConnect = null;
         if (delayed && !mayStart.getAsBoolean()) {
             abort();
-            pool.putIdle(newConnection);
+            pool.putIdle(newConnection, ResponseHandler.DEFAULT_QUIET_MS);
             return;
         }
         connection = newConnection;
@@ -324,7 +324,7 @@
         boolean reusable = noSurplus && parser.keepAlive() && fullyWritten();
         if (reusable) connection = null;
         finish();
-        if (reusable) pool.putIdle(used);
+        if (reusable) pool.putIdle(used, handler.quietMs());
         handler.end();
         handler.closed();
     }
--- a/src/main/java/maplerail/net/ConnectionPool.java
+++ b/src/main/java/maplerail/net/ConnectionPool.java
@@ -27,8 +27,6 @@
     private static final Logger LOG = LoggerFactory.getLogger(ConnectionPool.class);
     /** Share of the peer's idle timeout for which a connection is kept. */
     private static final double IDLE_LIFETIME_SHARE = 0.5;
-    /** Idle time before a connection is reused, in which surplus bytes of the last response would arrive. */
-    private static final double SETTLE_MS = 30;
     /** Limit on connections being established to one address; one that never responds must not take all of them. */
     private static final int MAX_CONNECTING = 24;
     /** Connections above the limit, for calls that carry no client's request. */
@@ -190,7 +188,7 @@
         for (Iterator<PooledConnection> fromNewest = idleConnections.descendingIterator(); fromNewest.hasNext();) {
             PooledConnection connection = fromNewest.next();
             double idleForMs = loop.nowMs() - connection.idleSinceMs;
-            if (idleForMs < SETTLE_MS && connection.isOpen()) continue;
+            if (!connection.hasSettled(loop.nowMs()) && connection.isOpen()) continue;
             fromNewest.remove();
             if (idleForMs < maxIdleMs && connection.checkQuiet()) return connection;
             connection.close();
@@ -249,7 +247,7 @@
             connections.remove(connection);
             if (!queuedByAddress.isEmpty()) loop.execute(this::startAllQueued);
         });
-        if (call.done()) putIdle(connection);
+        if (call.done()) putIdle(connection, ResponseHandler.DEFAULT_QUIET_MS);
         else call.attach(connection);
         startQueued(address);
     }
@@ -282,12 +280,16 @@
         else List.copyOf(queuedByAddress.keySet()).forEach(this::startQueued);
     }
 
-    /** Keeps a connection that is not in use for later calls. */
-    void putIdle(PooledConnection connection) {
-        connection.markIdle(loop.nowMs());
+    /**
+     * Keeps a connection that is not in use for later calls.
+     *
+     * @param quietMs for how long it must be quiet before it is used again
+     */
+    void putIdle(PooledConnection connection, double quietMs) {
+        connection.markIdle(loop.nowMs(), quietMs);
         idleByAddress.computeIfAbsent(connection.address, t -> new ArrayDeque<>()).addLast(connection);
         if (queuedByAddress.containsKey(connection.address))
-            loop.schedule(loop.nowMs() + SETTLE_MS, () -> startQueued(connection.address));
+            loop.schedule(loop.nowMs() + quietMs, () -> startQueued(connection.address));
         if (!sweeping) loop.schedule(loop.nowMs() + SWEEP_INTERVAL_MS, this::sweep);
         sweeping = true;
     }
--- a/src/main/java/maplerail/net/EngineClient.java
+++ b/src/main/java/maplerail/net/EngineClient.java
@@ -28,6 +28,11 @@
     private static final int MAX_TEXT_BYTES = 64 * 1024;
     /** Longest time from the head of a reader's response to its end; the body is sent along with the head. */
     private static final double READ_BODY_TIMEOUT_MS = 100;
+    /**
+     * Quiet time after a stream before its connection is used again. It allows for a lost packet of a second stream, which
+     * the operating system retransmits after 200 ms.
+     */
+    private static final double QUIET_AFTER_STREAM_MS = 250;
 
     private final ConnectionPool pool;
     private final XnioLoop loop;
@@ -97,6 +102,11 @@
             return limits.chunkBytes();
         }
 
+        @Override
+        public double quietMs() {
+            return headOutcome == Outcome.SERVED ? QUIET_AFTER_STREAM_MS : DEFAULT_QUIET_MS;
+        }
+
         @Override
         public void chunkEnd() {
             events.endChunk();
--- a/src/main/java/maplerail/net/PooledConnection.java
+++ b/src/main/java/maplerail/net/PooledConnection.java
@@ -16,6 +16,8 @@
     final InetSocketAddress address;
     final StreamConnection stream;
     double idleSinceMs;
+    /** When the connection may be used again unless a byte arrives before. */
+    private double reusableFromMs;
 
     PooledConnection(InetSocketAddress address, StreamConnection stream) {
         this.address = address;
@@ -45,14 +47,24 @@
         close();
     }
 
-    /** Marks the connection as idle and closes it if the peer closes it or sends bytes that belong to no call. */
-    void markIdle(double nowMs) {
+    /**
+     * Marks the connection as idle and closes it if the peer closes it or sends bytes that belong to no call.
+     *
+     * @param quietMs for how long it must be quiet before it is used again
+     */
+    void markIdle(double nowMs, double quietMs) {
         idleSinceMs = nowMs;
+        reusableFromMs = nowMs + quietMs;
         stream.getSinkChannel().suspendWrites();
         stream.getSourceChannel().setReadListener(c -> checkQuiet());
         stream.getSourceChannel().resumeReads();
     }
 
+    /** Returns true if a surplus response to the last call would have arrived by now. */
+    boolean hasSettled(double nowMs) {
+        return nowMs >= reusableFromMs;
+    }
+
     /** Returns true if no unexpected input has arrived; otherwise the connection is closed. */
     boolean checkQuiet() {
         if (!isOpen()) return false;
--- a/src/main/java/maplerail/net/ResponseHandler.java
+++ b/src/main/java/maplerail/net/ResponseHandler.java
@@ -7,6 +7,8 @@
 public interface ResponseHandler {
     /** Largest chunk where a handler does not set a limit of its own. */
     int DEFAULT_MAX_CHUNK_BYTES = 1 << 20;
+    /** Quiet time after a response where a handler does not set one of its own. */
+    double DEFAULT_QUIET_MS = 30;
 
     /** Called when the status line and the headers have been received. */
     void head(int status, HeaderMap headers);
@@ -25,6 +27,14 @@
     /** Called when the body is complete according to its framing. */
     void end();
 
+    /**
+     * Returns for how long a connection must have been quiet after the response before it is used again. A surplus response
+     * that comes later would be taken for that to the next request.
+     */
+    default double quietMs() {
+        return DEFAULT_QUIET_MS;
+    }
+
     /** Called if there is no response or if it is incomplete. */
     void failed(Failure failure);
 
--- a/src/test/java/maplerail/net/EngineClientTest.java
+++ b/src/test/java/maplerail/net/EngineClientTest.java
@@ -5,9 +5,12 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.undertow.util.Methods;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import maplerail.Router.Outcome;
 import maplerail.core.ClientMemory;
 import maplerail.core.ServiceRequest;
@@ -16,6 +19,8 @@
 import maplerail.support.GatewayFixture;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.extension.RegisterExtension;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests attempts and releases over real sockets. */
 class EngineClientTest {
@@ -45,8 +50,12 @@
     }
 
     private final class RecordingAnswer implements EngineTransport.AnswerListener {
+        private final StringBuffer events = new StringBuffer();
+
         @Override
-        public void event(byte[] event) {}
+        public void event(byte[] event) {
+            events.append(new String(event, StandardCharsets.US_ASCII));
+        }
 
         @Override
         public void rejected() {
@@ -81,6 +90,69 @@
         }
     }
 
+    private void sendAndAwaitEnd(EngineClient client, String id, RecordingAnswer answer) throws Exception {
+        loop.execute(() -> client.send(ENGINE, request(id), loop.nowMs() + 60_000, () -> true, answer));
+        take(outcomes);
+    }
+
+    private void awaitMs(double untilMs) throws InterruptedException {
+        await("time has passed", () -> loop.nowMs() > untilMs);
+    }
+
+    private static void answerWithStream(StandIn.Exchange exchange) throws Exception {
+        exchange.startStream();
+        exchange.chunk("data: " + exchange.target + "\n\ndata: [DONE]\n\n");
+        exchange.endStream();
+    }
+
+    /** Guards against giving a client the answer to another one's request, which came a second time on its connection. */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 20, 65, 120, 200})
+    void aSecondStreamThatComesLateIsNotTakenForTheNextOne(int lateMs) throws Exception {
+        CountDownLatch second = new CountDownLatch(1);
+        try (StandIn engine = new StandIn(exchange -> {
+            answerWithStream(exchange);
+            if (!exchange.target.equals("/first")) return;
+            TimeUnit.MILLISECONDS.sleep(lateMs);
+            answerWithStream(exchange);
+            second.countDown();
+        })) {
+            EngineClient client = client(engine, 100);
+            sendAndAwaitEnd(client, "first", new RecordingAnswer());
+            for (int i = 0; second.getCount() > 0 || i < 3; i++) {
+                RecordingAnswer answer = new RecordingAnswer();
+                double startMs = loop.nowMs();
+                sendAndAwaitEnd(client, "next" + i, answer);
+                assertThat(answer.events).hasToString("data: /next" + i + "\n\ndata: [DONE]\n\n");
+                awaitMs(startMs + 10);
+            }
+        }
+    }
+
+    /** Guards against opening a connection for each attempt, as engines hold only so many. */
+    @Test
+    void aConnectionIsUsedAgainOnceNoSecondAnswerCanComeAnyMore() throws Exception {
+        try (StandIn engine = new StandIn(exchange -> {
+            if (exchange.target.startsWith("/read")) exchange.reply(202, "");
+            else answerWithStream(exchange);
+        })) {
+            EngineClient client = client(engine, 100);
+            sendAndAwaitEnd(client, "read1", new RecordingAnswer());
+            awaitMs(loop.nowMs() + 100);
+            sendAndAwaitEnd(client, "read2", new RecordingAnswer());
+            assertThat(engine.connections()).as("behind a read").isEqualTo(1);
+            awaitMs(loop.nowMs() + 100);
+            sendAndAwaitEnd(client, "write1", new RecordingAnswer());
+            assertThat(engine.connections()).isEqualTo(1);
+            awaitMs(loop.nowMs() + 100);
+            sendAndAwaitEnd(client, "write2", new RecordingAnswer());
+            assertThat(engine.connections()).as("soon after a stream").isEqualTo(2);
+            awaitMs(loop.nowMs() + 350);
+            sendAndAwaitEnd(client, "write3", new RecordingAnswer());
+            assertThat(engine.connections()).as("long after a stream").isEqualTo(2);
+        }
+    }
+
     /** The state counts as held until the release arrives, and an idle connection may no longer respond. */
     @Test
     void releaseLostOnAnIdleConnectionIsRetriedSoonOnANewOne() throws Exception {
