Discard what a client sends behind its last answer, so that no reset cuts it

Cause: the HTTP server ends a connection behind its last answer by a shutdown and one read, and closes it at once if a byte comes; that resets it, and what the kernel had not delivered is lost. While the process ended, the connection also counted as idle and was closed within 20 ms.

Fix: such a connection is ending: its input is read and discarded, and the server is told only of its end. It is closed when its client closes it, after 2.5 s, when places are short, or after 1 MB. The exit waits for it for 1 s.

Both ends of the rule: a client that keeps its connection, or sends for ever, does not hold up the exit.

--- a/src/main/java/maplerail/front/ArrivalConduit.java
+++ b/src/main/java/maplerail/front/ArrivalConduit.java
@@ -12,11 +12,17 @@
  * deadline runs from when the request was sent, not from when the gateway reads it.
  */
 final class ArrivalConduit extends AbstractStreamSourceConduit<StreamSourceConduit> {
+    private static final int DISCARDED_BYTES_PER_READ = 8 * 1024;
+    /** Limit on what is read of a client that goes on sending behind its last answer. */
+    private static final int MAX_DISCARDED_BYTES = 1024 * 1024;
+
     private final EventLoop loop;
     private final ArrivalLog arrivals;
     private final Runnable onBytes;
     /** Sees all bytes that are read; may be null. */
     private InputTap tap;
+    private boolean discarding;
+    private int discardedBytes;
     /** The latest time at which every byte that had arrived is known to have been read. */
     private double lastEmptyMs;
     /**
@@ -45,8 +51,14 @@
         this.tap = tap;
     }
 
+    /** Discards what arrives from now on: the server is told only of the end of the input. */
+    void discardInput() {
+        discarding = true;
+    }
+
     @Override
     public int read(ByteBuffer buffer) throws IOException {
+        if (discarding) return discard();
         double beforeMs = loop.nowMs();
         int before = buffer.position();
         int count = super.read(buffer);
@@ -56,6 +68,7 @@
 
     @Override
     public long read(ByteBuffer[] buffer, int offset, int length) throws IOException {
+        if (discarding) return discard();
         double beforeMs = loop.nowMs();
         int[] before = Arrays.stream(buffer, offset, offset + length).mapToInt(ByteBuffer::position).toArray();
         long count = super.read(buffer, offset, length);
@@ -65,6 +78,13 @@
         return accepted ? count : 0;
     }
 
+    private int discard() throws IOException {
+        if (discardedBytes >= MAX_DISCARDED_BYTES) return -1;
+        int count = super.read(ByteBuffer.allocate(DISCARDED_BYTES_PER_READ));
+        discardedBytes += Math.max(count, 0);
+        return Math.min(count, 0);
+    }
+
     /** Shows the bytes that were just read to the tap, and takes them out of the buffer if it does not accept them. */
     private boolean isAccepted(ByteBuffer buffer, int before) {
         if (tap == null || tap.accept(buffer.duplicate().limit(buffer.position()).position(before))) return true;
--- a/src/main/java/maplerail/front/ClientListener.java
+++ b/src/main/java/maplerail/front/ClientListener.java
@@ -47,6 +47,8 @@
     private static final double FULL_SILENT_TIMEOUT_MS = 50;
     private static final double FULL_STALL_TIMEOUT_MS = 250; // for an incomplete request, while no slot is free
     private static final double IDLE_TIMEOUT_MS = 30_000;
+    /** Time in which a client that reads has received the last answer on its connection. */
+    private static final double MAX_DELIVERY_MS = 1_000;
     private static final double CHECK_INTERVAL_MS = 50;
     private static final double BACKLOG_DRAIN_MS = 100; // to empty the backlog once accept works again
     private static final byte[] REQUEST_TIMEOUT_RESPONSE = ("HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\n"
@@ -59,17 +61,18 @@
     private static final int FULL_DIVISOR = 32;
 
     /**
-     * State of a connection: new and without a byte yet, receiving a request, receiving the rest of one that has been
-     * rejected, waiting for its turn (as a new connection or with a request), with a request in flight, idle between
-     * requests, or taken over by another protocol.
+     * State of a connection: new and without a byte yet, receiving a request, ending, waiting for its turn (as a new
+     * connection or with a request), with a request in flight, idle between requests, or taken over by another protocol.
+     * One that is ending carries its last answer; what its client still sends is discarded, as a close over unread bytes
+     * would reset the connection and take the answer with it.
      */
-    private enum State { SILENT, RECEIVING, REJECTED, QUEUED, IN_FLIGHT, IDLE, UPGRADED }
+    private enum State { SILENT, RECEIVING, ENDING, QUEUED, IN_FLIGHT, IDLE, UPGRADED }
 
     private static final Set<State> ACTIVE_STATES = EnumSet.of(State.RECEIVING, State.QUEUED, State.IN_FLIGHT);
 
     /** Why the gateway closed a client's connection, or kept it open after all. */
     private enum Closed {
-        SAID_NOTHING, REQUEST_INCOMPLETE, REJECTED_REQUEST_INCOMPLETE, IDLE_TOO_LONG, ROOM_SHORT, SHUTTING_DOWN, HEARD_IN_TIME
+        SAID_NOTHING, REQUEST_INCOMPLETE, NOT_CLOSED_BY_CLIENT, IDLE_TOO_LONG, ROOM_SHORT, SHUTTING_DOWN, HEARD_IN_TIME
     }
 
     private final ChannelListener<StreamConnection> httpListener;
@@ -198,7 +201,7 @@
         ClientConnection starting = find(exchange);
         if (starting != null) onRequestStarted(starting);
         exchange.addExchangeCompleteListener((completed, proceed) -> {
-            setState(completed, State.IDLE);
+            setState(completed, completed.isPersistent() ? State.IDLE : State.ENDING);
             ClientConnection client = find(completed);
             if (client != null) onRequestCompleted(client, completed);
             proceed.proceed();
@@ -209,6 +212,7 @@
         client.endRequest();
         int unread = unreadBytes((HttpServerConnection) exchange.getConnection());
         client.arrivals.requestEnded(unread);
+        if (!exchange.isPersistent()) client.source.discardInput();
         if (unread == 0 || !exchange.isPersistent()) return;
         client.lastByteMs = loop.nowMs();
         onRequestStarted(client);
@@ -260,7 +264,7 @@
 
     /** Records that a request is answered before it is complete: for a while, its client may send the rest. */
     public void onRejected(HttpServerExchange exchange) {
-        setState(exchange, State.REJECTED);
+        setState(exchange, State.ENDING);
     }
 
     /** Records that a request is complete: its connection stays open until it is answered. */
@@ -295,7 +299,7 @@
         clients.forEach((connection, client) -> {
             double ageMs = nowMs - client.sinceMs;
             boolean timedOut = switch (client.state) {
-                case SILENT, REJECTED -> ageMs >= RECEIVE_TIMEOUT_MS;
+                case SILENT, ENDING -> ageMs >= RECEIVE_TIMEOUT_MS;
                 case RECEIVING -> ageMs >= client.receiveTimeoutMs
                         || ageMs >= RECEIVE_TIMEOUT_MS && nowMs - client.lastByteMs >= STALL_TIMEOUT_MS;
                 case IDLE -> ageMs >= IDLE_TIMEOUT_MS;
@@ -342,7 +346,7 @@
         return switch (state) {
             case SILENT -> Closed.SAID_NOTHING;
             case RECEIVING -> Closed.REQUEST_INCOMPLETE;
-            case REJECTED -> Closed.REJECTED_REQUEST_INCOMPLETE;
+            case ENDING -> Closed.NOT_CLOSED_BY_CLIENT;
             default -> Closed.IDLE_TOO_LONG;
         };
     }
@@ -359,7 +363,7 @@
     }
 
     /**
-     * While few slots are free, closes connections of rejected requests, silent connections, then idle ones. While no slot is free, closes all that are
+     * While few slots are free, closes connections that are ending, silent ones, then idle ones. While no slot is free, closes all that are
      * silent or have stalled within a request: requests may wait behind them in the kernel's backlog, and their
      * deadlines are running.
      */
@@ -367,7 +371,7 @@
         int excess = clients.size() - (maxConnections - maxConnections / RESERVED_DIVISOR);
         if (excess <= 0) return;
         boolean full = clients.size() >= maxConnections - maxConnections / FULL_DIVISOR;
-        int closed = closeLongestQuiet(State.REJECTED, FULL_STALL_TIMEOUT_MS, excess, nowMs);
+        int closed = closeLongestQuiet(State.ENDING, FULL_STALL_TIMEOUT_MS, excess, nowMs);
         closed += full ? closeLongestQuiet(State.SILENT, FULL_SILENT_TIMEOUT_MS, clients.size(), nowMs)
                 : closeLongestQuiet(State.SILENT, SILENT_TIMEOUT_MS, excess - closed, nowMs);
         if (full) closed += closeLongestQuiet(State.RECEIVING, FULL_STALL_TIMEOUT_MS, clients.size(), nowMs);
@@ -404,13 +408,18 @@
         List.copyOf(clients.keySet()).forEach(IoUtils::safeClose);
     }
 
-    /** Returns the number of connections on which a request is open or arriving. */
+    /** Returns the number of connections on which a request is open or arriving, or the last answer on its way. */
     public int activeConnections() {
         return (int) clients.entrySet().stream()
-                .filter(e -> e.getKey().isOpen() && ACTIVE_STATES.contains(e.getValue().state))
+                .filter(e -> e.getKey().isOpen() && isActive(e.getValue()))
                 .count();
     }
 
+    private boolean isActive(ClientConnection client) {
+        boolean answerOnItsWay = client.state == State.ENDING && loop.nowMs() - client.sinceMs < MAX_DELIVERY_MS;
+        return answerOnItsWay || ACTIVE_STATES.contains(client.state);
+    }
+
     /** Returns the number of open connections. */
     public int connections() {
         return (int) clients.keySet().stream().filter(StreamConnection::isOpen).count();
--- a/src/test/java/maplerail/cli/DrainTest.java
+++ b/src/test/java/maplerail/cli/DrainTest.java
@@ -4,7 +4,9 @@
 import static maplerail.support.GatewayFixture.request;
 import static maplerail.support.GatewayFixture.take;
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.BlockingQueue;
@@ -15,9 +17,13 @@
 import maplerail.support.GatewayFixture;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 class DrainTest {
+    private static final int SEND_ON_AFTER_MS = 100;
+    private static final double EARLIEST_KILL_MS = 3_700; // after the signal to end, for long deadlines
+
     private static void send(Socket socket, String request) throws Exception {
         socket.getOutputStream().write(request.getBytes(StandardCharsets.UTF_8));
     }
@@ -122,7 +128,8 @@
         String event = "data: " + "x".repeat(1_000) + "\n\n";
         try (StandIn reader = GatewayFixture.reader(); StandIn writer = new StandIn(x -> {
             x.startStream();
-            streams.add(x);
+            if (x.headers.get("req-id").equals("a1")) streams.add(x);
+            else end(x);
         });
                 GatewayFixture fixture = new GatewayFixture().engine("r", "prefill", reader)
                         .engine("w", "decode", writer)
@@ -134,13 +141,83 @@
             StandIn.Exchange stream = take(streams);
             send(client, request("a2", "lookup", "60") + request("a3", "lookup", "60").substring(0, 40));
             for (int i = 0; i < 100; i++) stream.chunk(event);
-            stream.endStream();
+            end(stream);
             String answer = GatewayFixture.readAll(client.getInputStream());
             assertThat(answer.split("data: x", -1)).hasSize(101);
             assertThat(answer).contains("\r\n0\r\n\r\n").doesNotContain("<reset>");
         }
     }
 
+    /** When a client sends more although its answer says that the connection ends with it. */
+    enum SendsOn {
+        AT_ONCE, AFTER_THE_GRACE_PERIOD
+    }
+
+    /** Guards against a close behind the last answer that resets the connection of a client which reads slowly and sends on. */
+    @ParameterizedTest
+    @EnumSource
+    void theLastAnswerIsCompleteThoughItsClientSendsOnBeforeItHasReadIt(SendsOn when) throws Exception {
+        BlockingQueue<StandIn.Exchange> streams = GatewayFixture.queue();
+        String event = "data: " + "x".repeat(1_000) + "\n\n";
+        try (StandIn reader = GatewayFixture.reader();
+                StandIn writer = streamingWriter(streams);
+                GatewayFixture fixture = new GatewayFixture().engine("r", "prefill", reader)
+                        .engine("w", "decode", writer)
+                        .start();
+                Socket client = new Socket()) {
+            client.setReceiveBufferSize(4_096);
+            client.connect(fixture.gateway.address());
+            fixture.gateway.drain();
+            await("draining", () -> fixture.gateway.phase() == Phase.DRAINING);
+            send(client, request("a1", "lookup", "5.0"));
+            StandIn.Exchange stream = take(streams);
+            if (when == SendsOn.AFTER_THE_GRACE_PERIOD)
+                await("no more requests are accepted", () -> !fixture.gateway.phase().acceptsRequests());
+            for (int i = 0; i < 300; i++) stream.chunk(event);
+            end(stream);
+            await("answered", () -> fixture.gateway.retainedRequests() == 0);
+            GatewayFixture.pause(SEND_ON_AFTER_MS);
+            send(client, request("a2", "lookup", "5.0"));
+            GatewayFixture.pause(SEND_ON_AFTER_MS);
+            String answer = GatewayFixture.readAll(client.getInputStream());
+            assertThat(answer.split("data: x", -1)).hasSize(301);
+            assertThat(answer).endsWith("\r\n0\r\n\r\n").contains("Connection: close");
+            client.shutdownOutput();
+            fixture.gateway.join();
+            assertThat(reader.count("POST")).isEqualTo(1);
+        }
+    }
+
+    /** Guards against an exit that waits for a client which never closes its connection, or sends on for ever. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void aClientThatDoesNotCloseDoesNotHoldUpTheExitUntilItIsKilled(boolean sendsOn) throws Exception {
+        BlockingQueue<StandIn.Exchange> streams = GatewayFixture.queue();
+        try (StandIn reader = GatewayFixture.reader();
+                StandIn writer = streamingWriter(streams);
+                GatewayFixture fixture = new GatewayFixture().engine("r", "prefill", reader)
+                        .engine("w", "decode", writer)
+                        .start();
+                Socket client = fixture.connect()) {
+            double startNanos = System.nanoTime();
+            fixture.gateway.drain();
+            await("draining", () -> fixture.gateway.phase() == Phase.DRAINING);
+            send(client, request("a1", "lookup", "5.0"));
+            end(take(streams));
+            assertThat(GatewayFixture.readUntil(client, "\r\n0\r\n\r\n")).contains("[DONE]");
+            if (sendsOn) sendUntilItFails(client);
+            fixture.gateway.join();
+            assertThat((System.nanoTime() - startNanos) / 1e6).isLessThan(EARLIEST_KILL_MS);
+        }
+    }
+
+    private static void sendUntilItFails(Socket client) {
+        byte[] part = request("a2", "lookup", "5.0").repeat(100).getBytes(StandardCharsets.UTF_8);
+        assertThatThrownBy(() -> {
+            while (true) client.getOutputStream().write(part);
+        }).isInstanceOf(IOException.class);
+    }
+
     @Test
     void connectionsThatEndedDuringARequestDoNotDelayTheExit() throws Exception {
         BlockingQueue<StandIn.Exchange> streams = GatewayFixture.queue();
