Close idle connections to a peer along with one that fell silent

Cause: a long poll follows the last answer at once, so that a watch uses two connections in turn. The call that replaces a silent one went out on the other one, which was silent as well.

Evidence: PlatformWatchTest.watchContinuesInTimeThoughAllConnectionsToItsAgentFallSilent: before, the second call came on an older connection, and the third too late.

Fix: a call that is aborted as stalled closes the idle connections to its peer too, so that the next one opens a new connection; for the platform's list and for Consul's queries.

--- a/src/main/java/maplerail/discovery/PlatformWatch.java
+++ b/src/main/java/maplerail/discovery/PlatformWatch.java
@@ -141,7 +141,9 @@
         }
 
         private void retryFirstList() {
-            if (this == current && awaitsFirstList && isSilent()) continueBeside();
+            if (this != current || !awaitsFirstList || !isSilent()) return;
+            call.closeIdleToPeer();
+            continueBeside();
         }
 
         private void checkProgress() {
--- a/src/main/java/maplerail/net/Call.java
+++ b/src/main/java/maplerail/net/Call.java
@@ -145,6 +145,11 @@
         handler.closed();
     }
 
+    /** Closes the idle connections to the peer of this call, for use when its own one has stopped responding. */
+    public void closeIdleToPeer() {
+        if (connection != null) pool.closeIdle(connection.address);
+    }
+
     /** Stops reading the response, so that its sender is held back by flow control. */
     public void pause() {
         if (done || paused) return;
--- a/src/main/java/maplerail/net/ConnectionPool.java
+++ b/src/main/java/maplerail/net/ConnectionPool.java
@@ -196,6 +196,12 @@
         return null;
     }
 
+    /** Closes the idle connections to an address, for use when they may have stopped responding. */
+    void closeIdle(InetSocketAddress address) {
+        ArrayDeque<PooledConnection> idleConnections = idleByAddress.remove(address);
+        if (idleConnections != null) idleConnections.forEach(PooledConnection::close);
+    }
+
     /**
      * Returns true if a connection may be opened, closing the one that has been idle longest if necessary. Guards
      * against more connections than the descriptor limit allows. A watch or a release may exceed the limit, as attempts
--- a/src/main/java/maplerail/net/TextResponseHandler.java
+++ b/src/main/java/maplerail/net/TextResponseHandler.java
@@ -32,7 +32,8 @@
 
     /**
      * Aborts a call that is overdue, unless the text of its response is still arriving. Guards against a response that is
-     * large or arrives over a slow path, which would otherwise be aborted and requested again and again.
+     * large or arrives over a slow path, which would otherwise be aborted and requested again and again. What has silenced
+     * its connection may have silenced the idle ones to the same peer too, so that they are closed with it.
      *
      * @return true if the call continues and has to be checked again
      */
@@ -42,6 +43,7 @@
             checkedBytes = contentBytes;
             return true;
         }
+        call.closeIdleToPeer();
         abort(call);
         return false;
     }
--- a/src/test/java/maplerail/discovery/PlatformWatchTest.java
+++ b/src/test/java/maplerail/discovery/PlatformWatchTest.java
@@ -20,6 +20,10 @@
 import org.junit.jupiter.api.Test;
 
 class PlatformWatchTest {
+    private static final double REUSE_DELAY_MS = 50; // after which a connection to the agent is used again
+    private static final int CALLS_BEFORE_SILENCE = 6;
+    private static final double KNOWN_AFTER_SILENCE_MS = 6_000;
+
     /**
      * Guards against keeping an overloaded discovery overloaded, by whole lists requested after a refused watch or by
      * calls without a pause.
@@ -90,6 +94,35 @@
         }
     }
 
+    /** Guards against a watch that goes on over another silent connection, and learns of a drain too late. */
+    @Test
+    void watchContinuesInTimeThoughAllConnectionsToItsAgentFallSilent() throws Exception {
+        AtomicInteger calls = new AtomicInteger();
+        BlockingQueue<Long> silentNanos = GatewayFixture.queue();
+        BlockingQueue<Long> answeredNanos = GatewayFixture.queue();
+        try (StandIn reader = GatewayFixture.reader();
+                StandIn writer = GatewayFixture.writer();
+                StandIn agent = new StandIn(x -> {
+                    int call = calls.incrementAndGet();
+                    GatewayFixture.pause(REUSE_DELAY_MS);
+                    if (call <= CALLS_BEFORE_SILENCE) {
+                        x.reply(200, "{\"seq\":" + (7 + call) + ",\"whole\":true,\"hosts\":[]}");
+                        return;
+                    }
+                    if (x.number == 0) answeredNanos.add(System.nanoTime());
+                    else silentNanos.add(System.nanoTime());
+                    x.awaitClose();
+                });
+                GatewayFixture fixture = new GatewayFixture().engine("r", "prefill", reader)
+                        .engine("w", "decode", writer)
+                        .withDiscovery(agent)) {
+            fixture.start();
+            long silentSince = take(silentNanos);
+            assertThat(agent.connections()).as("connections that fall silent").isGreaterThanOrEqualTo(2);
+            assertThat((take(answeredNanos) - silentSince) / 1e6).isLessThan(KNOWN_AFTER_SILENCE_MS);
+        }
+    }
+
     /** A large list from a slow or overloaded discovery takes longer than the timeout of a call. */
     @Test
     void listThatKeepsArrivingIsAccepted() throws Exception {
