Keep departed engines out of service whatever an agent that is behind lists

Cause: a list older than the newest known one was turned away for 2 s after the switch and then taken as it was.

Evidence: the sends begin when the older list is taken, none comes before; PlatformWatchTest.aDrainingEngineStaysOutOf- ServiceHoweverLongTheNewAgentIsBehind failed before.

Fix: the rule is DepartedEngines in policy. What the rule holds back is logged.

--- a/src/main/java/maplerail/core/Broker.java
+++ b/src/main/java/maplerail/core/Broker.java
@@ -5,6 +5,7 @@
 import maplerail.Router;
 import maplerail.core.Caller.Why;
 import maplerail.policy.AnswerTimes;
+import maplerail.policy.DepartedEngines;
 import maplerail.policy.ProtocolRules;
 import maplerail.policy.ProtocolRules.Reason;
 
@@ -19,6 +20,7 @@
 
     private final EventLoop loop;
     private final Fleet fleet;
+    private final DepartedEngines departedEngines = new DepartedEngines();
     private final RequestRegistry registry;
     private final HeldStates heldStates;
     private final Admission admission;
@@ -82,13 +84,24 @@
     }
 
     /** Updates the list of engines and withdraws unsent attempts at engines that have left service. */
-    public void updateEngines(Router.Members update) {
+    public void updateEngines(Router.Members list) {
+        Router.Members update = departedEngines.apply(list, loop.nowMs());
+        logOutdatedEntries(list, update);
         fleet.update(update);
         logLeavingEngines(update);
         decisions.deliver(update);
         runner.withdrawUnsent();
     }
 
+    /** Logs the engines that an older list has in service although they were told to leave. */
+    private void logOutdatedEntries(Router.Members list, Router.Members update) {
+        String outdated = update.members().stream().filter(member -> !list.members().contains(member))
+                .limit(MAX_ENGINES_PER_LOG_LINE).map(member -> Long.toHexString(member.engine()))
+                .collect(Collectors.joining(", "));
+        if (!outdated.isEmpty())
+            log.accept("engine list " + list.version() + " is behind, not taken back into service: " + outdated);
+    }
+
     /** Logs which engines leave service, for tracing what followed from it. */
     private void logLeavingEngines(Router.Members update) {
         if (update.kind() != Router.ListKind.CHANGES) return;
--- a/src/test/java/maplerail/discovery/PlatformWatchTest.java
+++ b/src/test/java/maplerail/discovery/PlatformWatchTest.java
@@ -291,4 +291,26 @@
             assertThat(writer.count("POST")).isZero();
         }
     }
+
+    /** Guards against a new agent that is behind for long, whose list puts a draining engine back into service. */
+    @Test
+    void aDrainingEngineStaysOutOfServiceHoweverLongTheNewAgentIsBehind() throws Exception {
+        try (StandIn reader = GatewayFixture.reader();
+                StandIn writer = GatewayFixture.writer();
+                GatewayFixture fixture = new GatewayFixture().engine("r", "prefill", reader)
+                        .engine("w1", "decode", writer, "terminating");
+                StandIn agent = new StandIn(x -> {
+                    if (!x.target.equals("/api/targets")) x.awaitClose();
+                    x.reply(200, "{\"seq\":1,\"whole\":true,\"hosts\":[" + host("r", reader, "in_service") + ","
+                            + host("w1", writer, "in_service").replace("prefill", "decode") + "]}");
+                });
+                GatewayFixture otherFixture = new GatewayFixture().withDiscovery(agent)) {
+            fixture.start();
+            await("the first list received", () -> fixture.discovery().count("GET /api/targets?index=") > 0);
+            fixture.gateway.reload(NodeConfig.read(otherFixture.config("127.0.0.1:0"), Map.of()));
+            await("the older list is taken", () -> agent.count("GET /api/targets?index=1&") > 0);
+            assertThat(fixture.exchange(request("a1", "lookup", "0.5"))).startsWith("HTTP/1.1 5");
+            assertThat(writer.count("POST")).isZero();
+        }
+    }
 }
