Tests of the drain share their set-up; framing of held requests is read once

DrainTest wrote out the same gateway, reader and writer six times; withStreams has it now. Assertions and bounds are as they were. PipelinedRequests read the framing of what it holds twice to drop the rest.

--- a/src/main/java/maplerail/core/Broker.java
+++ b/src/main/java/maplerail/core/Broker.java
@@ -95,6 +95,7 @@
 
     /** Logs the engines that an older list has in service although they were told to leave. */
     private void logOutdatedEntries(Router.Members list, Router.Members update) {
+        if (update == list) return;
         String outdated = update.members().stream().filter(member -> !list.members().contains(member))
                 .limit(MAX_ENGINES_PER_LOG_LINE).map(member -> Long.toHexString(member.engine()))
                 .collect(Collectors.joining(", "));
--- a/src/main/java/maplerail/front/ClientListener.java
+++ b/src/main/java/maplerail/front/ClientListener.java
@@ -212,7 +212,7 @@
         client.endRequest();
         int unread = unreadBytes((HttpServerConnection) exchange.getConnection());
         client.arrivals.requestEnded(unread);
-        if (!exchange.isPersistent()) client.source.discardInput();
+        if (client.state == State.ENDING) client.source.discardInput();
         if (unread == 0 || !exchange.isPersistent()) return;
         client.lastByteMs = loop.nowMs();
         onRequestStarted(client);
--- a/src/main/java/maplerail/front/platform/PipelinedRequests.java
+++ b/src/main/java/maplerail/front/platform/PipelinedRequests.java
@@ -51,7 +51,7 @@
         if (framing == null) {
             int bytes = append(received);
             recount();
-            if (bytes > maxBytes()) dropExcess();
+            if (bytes > maxBytes()) dropBehind(framingOfHeld());
             return;
         }
         onDropped.accept(received.remaining());
@@ -62,9 +62,14 @@
     /** Drops what is held behind the last complete request if that can't be read as a request. */
     void dropIfUnreadable() {
         if (framing != null || connection.getExtraBytes() == null) return;
+        RequestFraming held = framingOfHeld();
+        if (held.isUnreadable()) dropBehind(held);
+    }
+
+    private RequestFraming framingOfHeld() {
         RequestFraming held = new RequestFraming();
         held.read(connection.getExtraBytes().getBuffer().duplicate());
-        if (held.isUnreadable()) dropExcess();
+        return held;
     }
 
     private int maxBytes() {
@@ -72,10 +77,9 @@
     }
 
     /** Keeps the complete requests that are held, and from now on drops whatever follows them. */
-    private void dropExcess() {
+    private void dropBehind(RequestFraming framingOfHeld) {
         ByteBuffer held = connection.getExtraBytes().getBuffer();
-        framing = new RequestFraming();
-        framing.read(held.duplicate());
+        framing = framingOfHeld;
         int kept = (int) framing.completeBytes();
         answeredPlaceholders = framing.startedRequests() - (framing.isBetweenRequests() ? 0 : 1);
         onDropped.accept(held.remaining() - kept);
--- a/src/main/java/maplerail/policy/DepartedEngines.java
+++ b/src/main/java/maplerail/policy/DepartedEngines.java
@@ -25,7 +25,7 @@
     /** When an engine was told to leave, in which version, and when the process that leaves had started. */
     private record Departure(double toldMs, long version, double startedMs) {}
 
-    /** Returns a list as it is to be used, in which engines whose departure is newer than the list count as draining. */
+    /** Returns the list itself, or one in which the engines whose departure is newer than the list count as draining. */
     public Members apply(Members list, double nowMs) {
         if (list.kind() == ListKind.FAILED) return list;
         departures.values().removeIf(departure -> nowMs - departure.toldMs() > MAX_LAG_MS);
@@ -33,7 +33,7 @@
         newestVersion = Math.max(newestVersion, list.version());
         List<Member> members = new ArrayList<>(list.members().size());
         for (Member member : list.members()) members.add(apply(member, list.version(), nowMs));
-        return new Members(list.kind(), list.version(), members);
+        return members.equals(list.members()) ? list : new Members(list.kind(), list.version(), members);
     }
 
     /** Engines that the newest whole list does not name any more are gone. */
--- a/src/test/java/maplerail/cli/DrainTest.java
+++ b/src/test/java/maplerail/cli/DrainTest.java
@@ -37,88 +37,94 @@
         });
     }
 
-    private static void end(StandIn.Exchange stream) throws Exception {
-        stream.chunk("data: [DONE]\n\n");
-        stream.endStream();
+    private interface Scenario {
+        void run(GatewayFixture fixture, BlockingQueue<StandIn.Exchange> streams, StandIn reader) throws Exception;
     }
 
-    @Test
-    void requestsAcceptedBeforeAndDuringTheDrainAreServed() throws Exception {
+    /** Runs a scenario with a gateway whose streams are left to it. */
+    private static void withStreams(Scenario scenario) throws Exception {
         BlockingQueue<StandIn.Exchange> streams = GatewayFixture.queue();
         try (StandIn reader = GatewayFixture.reader();
                 StandIn writer = streamingWriter(streams);
                 GatewayFixture fixture = new GatewayFixture().engine("r", "prefill", reader)
                         .engine("w", "decode", writer)
-                        .start();
-                Socket before = fixture.connect();
-                Socket after = fixture.connect()) {
-            send(before, request("a1", "lookup", "5.0"));
-            StandIn.Exchange first = take(streams);
-            fixture.gateway.drain();
-            await("draining", () -> fixture.gateway.phase() == Phase.DRAINING);
-            send(after, request("a2", "lookup", "5.0"));
-            for (StandIn.Exchange stream : new StandIn.Exchange[] {first, take(streams)}) {
-                end(stream);
-            }
-            fixture.gateway.join();
-            assertThat(GatewayFixture.readAll(before.getInputStream())).contains("[DONE]").endsWith("\r\n0\r\n\r\n");
-            assertThat(GatewayFixture.readAll(after.getInputStream())).contains("[DONE]").endsWith("\r\n0\r\n\r\n");
-            assertThat(fixture.gateway.phase()).isEqualTo(Phase.STOPPED);
+                        .start()) {
+            scenario.run(fixture, streams, reader);
         }
     }
 
+    private static void end(StandIn.Exchange stream) throws Exception {
+        stream.chunk("data: [DONE]\n\n");
+        stream.endStream();
+    }
+
+    @Test
+    void requestsAcceptedBeforeAndDuringTheDrainAreServed() throws Exception {
+        withStreams((fixture, streams, reader) -> {
+            try (Socket before = fixture.connect();
+                    Socket after = fixture.connect()) {
+                send(before, request("a1", "lookup", "5.0"));
+                StandIn.Exchange first = take(streams);
+                fixture.gateway.drain();
+                await("draining", () -> fixture.gateway.phase() == Phase.DRAINING);
+                send(after, request("a2", "lookup", "5.0"));
+                for (StandIn.Exchange stream : new StandIn.Exchange[] {first, take(streams)}) {
+                    end(stream);
+                }
+                fixture.gateway.join();
+                assertThat(GatewayFixture.readAll(before.getInputStream())).contains("[DONE]")
+                        .endsWith("\r\n0\r\n\r\n");
+                assertThat(GatewayFixture.readAll(after.getInputStream())).contains("[DONE]").endsWith("\r\n0\r\n\r\n");
+                assertThat(fixture.gateway.phase()).isEqualTo(Phase.STOPPED);
+            }
+        });
+    }
+
     /** A connection that a long stream keeps open can carry further requests for as long as the stream lasts. */
     @Test
     void aRequestAfterTheGracePeriodIsRefusedAndNotPassedOn() throws Exception {
-        BlockingQueue<StandIn.Exchange> streams = GatewayFixture.queue();
-        try (StandIn reader = GatewayFixture.reader();
-                StandIn writer = streamingWriter(streams);
-                GatewayFixture fixture = new GatewayFixture().engine("r", "prefill", reader)
-                        .engine("w", "decode", writer)
-                        .start();
-                Socket client = fixture.connect()) {
-            send(client, request("a1", "lookup", "5.0"));
-            StandIn.Exchange first = take(streams);
-            fixture.gateway.drain();
-            await("no more requests are accepted", () -> !fixture.gateway.phase().acceptsRequests());
-            send(client, request("a2", "lookup", "5.0"));
-            end(first);
-            assertThat(GatewayFixture.readAll(client.getInputStream())).contains("[DONE]", "\r\n0\r\n\r\nHTTP/1.1 503");
-            fixture.gateway.join();
-            assertThat(reader.count("POST")).isEqualTo(1);
-        }
+        withStreams((fixture, streams, reader) -> {
+            try (Socket client = fixture.connect()) {
+                send(client, request("a1", "lookup", "5.0"));
+                StandIn.Exchange first = take(streams);
+                fixture.gateway.drain();
+                await("no more requests are accepted", () -> !fixture.gateway.phase().acceptsRequests());
+                send(client, request("a2", "lookup", "5.0"));
+                end(first);
+                assertThat(GatewayFixture.readAll(client.getInputStream())).contains("[DONE]",
+                        "\r\n0\r\n\r\nHTTP/1.1 503");
+                fixture.gateway.join();
+                assertThat(reader.count("POST")).isEqualTo(1);
+            }
+        });
     }
 
     /** Guards against requests that were read behind others and get no answer, as the next answer closes their connection. */
     @ParameterizedTest
     @ValueSource(ints = {2, 4, 8})
     void requestsThatWereSentAtOnceBeforeTheDrainAreAllAnswered(int count) throws Exception {
-        BlockingQueue<StandIn.Exchange> streams = GatewayFixture.queue();
-        try (StandIn reader = GatewayFixture.reader();
-                StandIn writer = streamingWriter(streams);
-                GatewayFixture fixture = new GatewayFixture().engine("r", "prefill", reader)
-                        .engine("w", "decode", writer)
-                        .start();
-                Socket client = fixture.connect()) {
-            StringBuilder requests = new StringBuilder();
-            for (int i = 1; i <= count; i++) requests.append(request("a" + i, "lookup", "5.0"));
-            send(client, requests.toString());
-            StandIn.Exchange first = take(streams);
-            fixture.gateway.drain();
-            await("draining", () -> fixture.gateway.phase() == Phase.DRAINING);
-            end(first);
-            StandIn.Exchange second = take(streams);
-            await("no more requests are accepted", () -> !fixture.gateway.phase().acceptsRequests());
-            end(second);
-            String answers = GatewayFixture.readAll(client.getInputStream());
-            assertThat(answers.split("HTTP/1\\.1 200 ", -1)).as("served").hasSize(2 + 1);
-            assertThat(answers.split("HTTP/1\\.1 503 ", -1)).as("refused, as they were not begun")
-                    .hasSize(count - 2 + 1);
-            assertThat(answers).doesNotContain("<reset>");
-            assertThat(answers.split("Connection: close", -1)).as("closed behind the last one").hasSize(2);
-            fixture.gateway.join();
-            assertThat(fixture.gateway.phase()).isEqualTo(Phase.STOPPED);
-        }
+        withStreams((fixture, streams, reader) -> {
+            try (Socket client = fixture.connect()) {
+                StringBuilder requests = new StringBuilder();
+                for (int i = 1; i <= count; i++) requests.append(request("a" + i, "lookup", "5.0"));
+                send(client, requests.toString());
+                StandIn.Exchange first = take(streams);
+                fixture.gateway.drain();
+                await("draining", () -> fixture.gateway.phase() == Phase.DRAINING);
+                end(first);
+                StandIn.Exchange second = take(streams);
+                await("no more requests are accepted", () -> !fixture.gateway.phase().acceptsRequests());
+                end(second);
+                String answers = GatewayFixture.readAll(client.getInputStream());
+                assertThat(answers.split("HTTP/1\\.1 200 ", -1)).as("served").hasSize(2 + 1);
+                assertThat(answers.split("HTTP/1\\.1 503 ", -1)).as("refused, as they were not begun")
+                        .hasSize(count - 2 + 1);
+                assertThat(answers).doesNotContain("<reset>");
+                assertThat(answers.split("Connection: close", -1)).as("closed behind the last one").hasSize(2);
+                fixture.gateway.join();
+                assertThat(fixture.gateway.phase()).isEqualTo(Phase.STOPPED);
+            }
+        });
     }
 
     /** Guards against a close with unread bytes, which resets the connection and cuts the answer off. */
@@ -157,58 +163,50 @@
     @ParameterizedTest
     @EnumSource
     void theLastAnswerIsCompleteThoughItsClientSendsOnBeforeItHasReadIt(SendsOn when) throws Exception {
-        BlockingQueue<StandIn.Exchange> streams = GatewayFixture.queue();
         String event = "data: " + "x".repeat(1_000) + "\n\n";
-        try (StandIn reader = GatewayFixture.reader();
-                StandIn writer = streamingWriter(streams);
-                GatewayFixture fixture = new GatewayFixture().engine("r", "prefill", reader)
-                        .engine("w", "decode", writer)
-                        .start();
-                Socket client = new Socket()) {
-            client.setReceiveBufferSize(4_096);
-            client.connect(fixture.gateway.address());
-            fixture.gateway.drain();
-            await("draining", () -> fixture.gateway.phase() == Phase.DRAINING);
-            send(client, request("a1", "lookup", "5.0"));
-            StandIn.Exchange stream = take(streams);
-            if (when == SendsOn.AFTER_THE_GRACE_PERIOD)
-                await("no more requests are accepted", () -> !fixture.gateway.phase().acceptsRequests());
-            for (int i = 0; i < 300; i++) stream.chunk(event);
-            end(stream);
-            await("answered", () -> fixture.gateway.retainedRequests() == 0);
-            GatewayFixture.pause(SEND_ON_AFTER_MS);
-            send(client, request("a2", "lookup", "5.0"));
-            GatewayFixture.pause(SEND_ON_AFTER_MS);
-            String answer = GatewayFixture.readAll(client.getInputStream());
-            assertThat(answer.split("data: x", -1)).hasSize(301);
-            assertThat(answer).endsWith("\r\n0\r\n\r\n").contains("Connection: close");
-            client.shutdownOutput();
-            fixture.gateway.join();
-            assertThat(reader.count("POST")).isEqualTo(1);
-        }
+        withStreams((fixture, streams, reader) -> {
+            try (Socket client = new Socket()) {
+                client.setReceiveBufferSize(4_096);
+                client.connect(fixture.gateway.address());
+                fixture.gateway.drain();
+                await("draining", () -> fixture.gateway.phase() == Phase.DRAINING);
+                send(client, request("a1", "lookup", "5.0"));
+                StandIn.Exchange stream = take(streams);
+                if (when == SendsOn.AFTER_THE_GRACE_PERIOD)
+                    await("no more requests are accepted", () -> !fixture.gateway.phase().acceptsRequests());
+                for (int i = 0; i < 300; i++) stream.chunk(event);
+                end(stream);
+                await("answered", () -> fixture.gateway.retainedRequests() == 0);
+                GatewayFixture.pause(SEND_ON_AFTER_MS);
+                send(client, request("a2", "lookup", "5.0"));
+                GatewayFixture.pause(SEND_ON_AFTER_MS);
+                String answer = GatewayFixture.readAll(client.getInputStream());
+                assertThat(answer.split("data: x", -1)).hasSize(301);
+                assertThat(answer).endsWith("\r\n0\r\n\r\n").contains("Connection: close");
+                client.shutdownOutput();
+                fixture.gateway.join();
+                assertThat(reader.count("POST")).isEqualTo(1);
+            }
+        });
     }
 
     /** Guards against an exit that waits for a client which never closes its connection, or sends on for ever. */
     @ParameterizedTest
     @ValueSource(booleans = {false, true})
     void aClientThatDoesNotCloseDoesNotHoldUpTheExitUntilItIsKilled(boolean sendsOn) throws Exception {
-        BlockingQueue<StandIn.Exchange> streams = GatewayFixture.queue();
-        try (StandIn reader = GatewayFixture.reader();
-                StandIn writer = streamingWriter(streams);
-                GatewayFixture fixture = new GatewayFixture().engine("r", "prefill", reader)
-                        .engine("w", "decode", writer)
-                        .start();
-                Socket client = fixture.connect()) {
-            double startNanos = System.nanoTime();
-            fixture.gateway.drain();
-            await("draining", () -> fixture.gateway.phase() == Phase.DRAINING);
-            send(client, request("a1", "lookup", "5.0"));
-            end(take(streams));
-            assertThat(GatewayFixture.readUntil(client, "\r\n0\r\n\r\n")).contains("[DONE]");
-            if (sendsOn) sendUntilItFails(client);
-            fixture.gateway.join();
-            assertThat((System.nanoTime() - startNanos) / 1e6).isLessThan(EARLIEST_KILL_MS);
-        }
+        withStreams((fixture, streams, reader) -> {
+            try (Socket client = fixture.connect()) {
+                double startNanos = System.nanoTime();
+                fixture.gateway.drain();
+                await("draining", () -> fixture.gateway.phase() == Phase.DRAINING);
+                send(client, request("a1", "lookup", "5.0"));
+                end(take(streams));
+                assertThat(GatewayFixture.readUntil(client, "\r\n0\r\n\r\n")).contains("[DONE]");
+                if (sendsOn) sendUntilItFails(client);
+                fixture.gateway.join();
+                assertThat((System.nanoTime() - startNanos) / 1e6).isLessThan(EARLIEST_KILL_MS);
+            }
+        });
     }
 
     private static void sendUntilItFails(Socket client) {
@@ -220,12 +218,7 @@
 
     @Test
     void connectionsThatEndedDuringARequestDoNotDelayTheExit() throws Exception {
-        BlockingQueue<StandIn.Exchange> streams = GatewayFixture.queue();
-        try (StandIn reader = GatewayFixture.reader();
-                StandIn writer = streamingWriter(streams);
-                GatewayFixture fixture = new GatewayFixture().engine("r", "prefill", reader)
-                        .engine("w", "decode", writer)
-                        .start()) {
+        withStreams((fixture, streams, reader) -> {
             Socket abandoned = fixture.connect();
             send(abandoned, request("a1", "lookup", "5.0"));
             take(streams);
@@ -246,7 +239,7 @@
             joiner.start();
             joiner.join(20_000);
             assertThat(fixture.gateway.phase()).isEqualTo(Phase.STOPPED);
-        }
+        });
     }
 
     /** No one else releases the states of a gateway that has exited. */
