--- a/src/main/java/maplerail/front/ClientListener.java
+++ b/src/main/java/maplerail/front/ClientListener.java
@@ -8,14 +8,13 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.EnumSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.function.BooleanSupplier;
 import maplerail.core.EventLoop;
 import maplerail.core.ServiceCounters;
+import maplerail.front.ClientConnection.State;
 import maplerail.policy.ProtocolRules;
 import maplerail.policy.ProtocolRules.Reason;
 import org.slf4j.Logger;
@@ -34,7 +33,7 @@
 public final class ClientListener implements ChannelListener<StreamConnection> {
     private static final Logger LOG = LoggerFactory.getLogger(ClientListener.class);
     /** Within this time of the connection's start, or of a later request's first byte, a request must be complete. */
-    private static final double RECEIVE_TIMEOUT_MS = 2_500;
+    static final double RECEIVE_TIMEOUT_MS = 2_500;
     /**
      * Time without a byte after which a request counts as stalled that may take longer than {@link #RECEIVE_TIMEOUT_MS}
      * and has exceeded it.
@@ -47,8 +46,6 @@
     private static final double FULL_SILENT_TIMEOUT_MS = 50;
     private static final double FULL_STALL_TIMEOUT_MS = 250; // for an incomplete request, while no slot is free
     private static final double IDLE_TIMEOUT_MS = 30_000;
-    /** Time in which a client that reads has received the last answer on its connection. */
-    private static final double MAX_DELIVERY_MS = 1_000;
     private static final double CHECK_INTERVAL_MS = 50;
     private static final double BACKLOG_DRAIN_MS = 100; // to empty the backlog once accept works again
     private static final byte[] REQUEST_TIMEOUT_RESPONSE = ("HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\n"
@@ -60,16 +57,6 @@
      */
     private static final int FULL_DIVISOR = 32;
 
-    /**
-     * State of a connection: new and without a byte yet, receiving a request, ending, waiting for its turn (as a new
-     * connection or with a request), with a request in flight, idle between requests, or taken over by another protocol.
-     * One that is ending carries its last answer; what its client still sends is discarded, as a close over unread bytes
-     * would reset the connection and take the answer with it.
-     */
-    private enum State { SILENT, RECEIVING, ENDING, QUEUED, IN_FLIGHT, IDLE, UPGRADED }
-
-    private static final Set<State> ACTIVE_STATES = EnumSet.of(State.RECEIVING, State.QUEUED, State.IN_FLIGHT);
-
     /** Why the gateway closed a client's connection, or kept it open after all. */
     private enum Closed {
         SAID_NOTHING, REQUEST_INCOMPLETE, NOT_CLOSED_BY_CLIENT, IDLE_TOO_LONG, ROOM_SHORT, SHUTTING_DOWN, HEARD_IN_TIME
@@ -88,30 +75,6 @@
     /** Guards against clients that connect again at once: accepted connections are handled before any input is read. */
     private final RequestThrottle throttle;
 
-    private static final class ClientConnection {
-        State state = State.SILENT;
-        double sinceMs;
-        final ArrivalLog arrivals = new ArrivalLog();
-        ArrivalConduit source;
-        /** When the last bytes were read, and how long the current request may take while more keep arriving. */
-        double lastByteMs;
-        double receiveTimeoutMs = RECEIVE_TIMEOUT_MS;
-        /** Lets go of what is held for the current request. */
-        Runnable requestEndAction = () -> {};
-
-        /** Ends the current request: its exchange is complete, or the connection is closed. */
-        void endRequest() {
-            source.setTap(null);
-            requestEndAction.run();
-            requestEndAction = () -> {};
-        }
-
-        /** Since when it has been in its state without a byte from its client. */
-        double quietSinceMs() {
-            return Math.max(sinceMs, lastByteMs);
-        }
-    }
-
     /**
      * Records that accept has been failing since {@code sinceMs} and is about to be retried: a connection that is
      * accepted now, or soon after, while the backlog empties, may have waited since then.
@@ -411,15 +374,10 @@
     /** Returns the number of connections on which a request is open or arriving, or the last answer on its way. */
     public int activeConnections() {
         return (int) clients.entrySet().stream()
-                .filter(e -> e.getKey().isOpen() && isActive(e.getValue()))
+                .filter(e -> e.getKey().isOpen() && e.getValue().isActive(loop.nowMs()))
                 .count();
     }
 
-    private boolean isActive(ClientConnection client) {
-        boolean answerOnItsWay = client.state == State.ENDING && loop.nowMs() - client.sinceMs < MAX_DELIVERY_MS;
-        return answerOnItsWay || ACTIVE_STATES.contains(client.state);
-    }
-
     /** Returns the number of open connections. */
     public int connections() {
         return (int) clients.keySet().stream().filter(StreamConnection::isOpen).count();
